Add the design page, protocol schemas and the workspace

Cause: the repository was empty. Change: docs/design.md states requirements, modules, messages and failure handling; packages/protocol holds the JSON Schemas with generated types and validators, the framing and the findings; the other packages have their seams as interfaces only. Checked: format, lint, types and 11 tests.

--- /dev/null
+++ b/packages/protocol/test/framing.test.ts
@@ -0,0 +1,27 @@
+import { describe, expect, test } from 'vitest';
+import { encodeFrame, FrameReader, FramingError, MAX_FRAME_BYTES } from '../src/index';
+
+describe('frames', () => {
+  // Guards against messages lost or joined when TCP splits the stream at any byte.
+  test.each([1, 2, 3, 4, 5, 7, 64])('survive a stream split every %i bytes', (size) => {
+    const messages = [
+      { kind: 'ping', sequence: 1 },
+      { kind: 'moved', attemptId: 'a'.repeat(200) },
+    ];
+    const bytes = Buffer.concat(messages.map(encodeFrame));
+    const reader = new FrameReader();
+    const received: unknown[] = [];
+    for (let offset = 0; offset < bytes.length; offset += size) {
+      received.push(...reader.readMessages(bytes.subarray(offset, offset + size)));
+    }
+    expect(received).toEqual(messages);
+  });
+
+  // Guards against unbounded buffering for a peer that announces a huge frame.
+  test('over the limit are refused in both directions', () => {
+    const header = Buffer.alloc(4);
+    header.writeUInt32BE(MAX_FRAME_BYTES + 1);
+    expect(() => new FrameReader().readMessages(header)).toThrow(FramingError);
+    expect(() => encodeFrame('x'.repeat(MAX_FRAME_BYTES + 1))).toThrow(FramingError);
+  });
+});
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,63 @@
+// Bundles the entry points to one CommonJS file each; with --binary also makes dist/pollendrum.
+import { execFileSync } from 'node:child_process';
+import { chmodSync, copyFileSync, existsSync, mkdirSync, writeFileSync } from 'node:fs';
+import { build } from 'esbuild';
+
+const entryPoints = {
+  pollendrum: 'packages/cli/src/main.ts',
+  'stand-ins': 'packages/stand-ins/src/main.ts',
+  bench: 'packages/bench/src/main.ts',
+};
+
+export async function bundle() {
+  mkdirSync('dist', { recursive: true });
+  for (const [name, entry] of Object.entries(entryPoints)) {
+    if (!existsSync(entry)) continue;
+    await build({
+      entryPoints: [entry],
+      outfile: `dist/${name}.cjs`,
+      bundle: true,
+      platform: 'node',
+      target: 'node20',
+      format: 'cjs',
+      sourcemap: false,
+      logLevel: 'error',
+      // Optional native parts: each library falls back to JavaScript without them.
+      external: ['unix-dgram', 'cbor-extract'],
+      define: { 'import.meta.url': '__bundleUrl' },
+      banner: { js: 'const __bundleUrl = require("node:url").pathToFileURL(__filename).href;' },
+    });
+  }
+}
+
+function makeBinary() {
+  const config = 'dist/sea-config.json';
+  writeFileSync(
+    config,
+    JSON.stringify({
+      main: 'dist/pollendrum.cjs',
+      output: 'dist/pollendrum.blob',
+      disableExperimentalSEAWarning: true,
+    }),
+  );
+  execFileSync(process.execPath, ['--experimental-sea-config', config], { stdio: 'inherit' });
+  copyFileSync(process.execPath, 'dist/pollendrum');
+  chmodSync('dist/pollendrum', 0o755);
+  execFileSync(
+    process.execPath,
+    [
+      'node_modules/postject/dist/cli.js',
+      'dist/pollendrum',
+      'NODE_SEA_BLOB',
+      'dist/pollendrum.blob',
+      '--sentinel-fuse',
+      'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2',
+    ],
+    { stdio: 'inherit' },
+  );
+}
+
+if (process.argv[1]?.endsWith('build.mjs')) {
+  await bundle();
+  if (process.argv.includes('--binary')) makeBinary();
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,12 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['packages/*/test/**/*.test.ts'],
+    globalSetup: ['./scripts/bundle-before-tests.mjs'],
+    testTimeout: 30_000,
+    hookTimeout: 30_000,
+    // Process tests share the loopback interface and the cores; a small pool keeps their timing steady.
+    maxWorkers: 4,
+  },
+});
