Add the command line with settings check and keys, in one binary

Cause: operators need one program to install; oclif's loader wants files that a single executable does not have. Change: a static command table around oclif's parser, settings with schema and semantic findings, key generation.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,6 +11,7 @@
   'assert',
   'build',
   'cancel',
+  'catch',
   'check',
   'choose',
   'claim',
--- /dev/null
+++ b/packages/cli/src/command-table.ts
@@ -0,0 +1,12 @@
+import type { Command, Config } from '@oclif/core';
+import { KeysNew } from './commands/keys-new';
+import { SettingsCheck } from './commands/settings-check';
+
+/** A command class as the table needs it; oclif's own type wants its loader's fields. */
+export type CommandClass = typeof Command & (new (argv: string[], config: Config) => Command);
+
+/** All commands by their words. */
+export const commandTable: ReadonlyMap<string, CommandClass> = new Map<string, CommandClass>([
+  ['keys new', KeysNew],
+  ['settings check', SettingsCheck],
+]);
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './settings-file';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
+export * from './causes/describe-cause';
 export * from './codec/framing';
 export * from './findings/findings';
 export type * from './generated/types';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -22,10 +22,15 @@
       format: 'cjs',
       sourcemap: false,
       logLevel: 'error',
-      // Optional native parts: each library falls back to JavaScript without them.
-      external: ['unix-dgram', 'cbor-extract'],
+      // Native parts that the libraries replace by JavaScript, and a compiler that oclif only uses in development.
+      external: ['unix-dgram', 'cbor-extract', 'typescript'],
+      // jsonc-parser's main file resolves its parts at run time, which a bundle cannot follow.
+      mainFields: ['module', 'main'],
       define: { 'import.meta.url': '__bundleUrl' },
-      banner: { js: 'const __bundleUrl = require("node:url").pathToFileURL(__filename).href;' },
+      banner: {
+        // In a single executable the given require only loads built-in modules and warns about others.
+        js: 'require = require("node:module").createRequire(__filename);const __bundleUrl = require("node:url").pathToFileURL(__filename).href;',
+      },
     });
   }
 }
