--- a/packages/cli/src/base-command.ts
+++ b/packages/cli/src/base-command.ts
@@ -2,6 +2,8 @@
 import { formatFinding, FindingsError } from '@pollendrum/protocol';
 import type { Finding } from '@pollendrum/protocol';
 import { ExitCode } from './exit-codes';
+import { OperatorClient, OperatorRequestError, resolveConnection } from './operator-client';
+import type { ConnectionFlags } from './operator-client';
 
 /** Flags that reach a running system. */
 export const connectionFlags = {
@@ -29,10 +31,23 @@
     this.exit(ExitCode.invalid);
   }
 
+  /** Connects to the instance that the flags name; ends the command when they name none. */
+  protected createOperatorClient(flags: ConnectionFlags): OperatorClient {
+    const { instanceUrl, clusterKey } = resolveConnection(flags);
+    if (instanceUrl === undefined || clusterKey === undefined || clusterKey === '') {
+      this.error('name an instance: --settings FILE, or --url URL with --cluster-key-file FILE', {
+        exit: ExitCode.usage,
+      });
+    }
+    return new OperatorClient(instanceUrl, clusterKey);
+  }
+
   protected override async catch(error: Error & { exitCode?: number }): Promise<void> {
     if (error instanceof FindingsError) {
       this.failWithFindings(this.argv.includes('--json'), error.findings);
     }
+    if (error instanceof OperatorRequestError)
+      this.error(error.message, { exit: ExitCode.unavailable });
     await super.catch(error);
   }
 }
