Add the scheduler of a shard and the routing hashes

Cause: packages/policy held only the interface of the scheduler. ESLint accepts enqueue, withdraw and finish, which the interface names.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -31,12 +31,14 @@
   'emit',
   'encode',
   'end',
+  'enqueue',
   'estimate',
   'explain',
   'expire',
   'fail',
   'fetch',
   'find',
+  'finish',
   'flush',
   'format',
   'generate',
@@ -100,6 +102,7 @@
   'verify',
   'wait',
   'watch',
+  'withdraw',
   'write',
 ];
 const verbPattern = `^_?(${verbs.join('|')}|constructor)([A-Z0-9].*)?$`;
--- /dev/null
+++ b/packages/policy/src/admission.ts
@@ -0,0 +1,136 @@
+import type { Cause } from '@pollendrum/protocol';
+import type { CrashLedger } from './crash-ledger';
+import { Headroom } from './headroom';
+import { resolveBudgetMs, resolveQueuedSince, type RequestQueue } from './queue';
+import { PROBE_INTERVAL_MS } from './server-health';
+import { countFreeSlots, countSlots, type ServerTable } from './server-table';
+import type { TeamLimits } from './team-limits';
+import type { QueuedRequest, SchedulerSummary } from './types';
+import { estimateClassWait, estimateTierWait, type WaitEstimateInput } from './wait-estimate';
+
+/** Shortest advice to a caller, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 100;
+
+/** Why a request is refused, and when it may try again. */
+export interface Refusal {
+  cause: Cause;
+  retryAfterMs: number;
+}
+
+/** State of a shard that admission reads. */
+export interface AdmissionInput {
+  queue: RequestQueue;
+  table: ServerTable;
+  ledger: CrashLedger;
+  limits: TeamLimits;
+  headroomRatio: number | undefined;
+  meanServiceMs: number;
+  nowMs: number;
+}
+
+function makeWaitInput(input: AdmissionInput): WaitEstimateInput {
+  const healthy = input.table.listInState('healthy', input.nowMs);
+  const slots = countSlots(healthy);
+  const inUse = healthy.flatMap(({ grants }) => [...grants]);
+  return {
+    classes: input.queue.classes,
+    slots,
+    freeSlots: countFreeSlots(healthy),
+    headroom: new Headroom(input.queue.listTiers(), slots, input.headroomRatio, inUse),
+    meanServiceMs: input.meanServiceMs,
+  };
+}
+
+/** The team's limits come last, so that a request refused for another reason uses up nothing. */
+export function findRefusal(request: QueuedRequest, input: AdmissionInput): Refusal | undefined {
+  return (
+    checkPoison(request, input.ledger) ??
+    checkServers(request, input) ??
+    checkWait(request, input) ??
+    input.limits.checkAttempt(request.team, request.isRetry, input.nowMs)
+  );
+}
+
+/** Load of the shard as told to entries. */
+export function summarizeLoad(input: AdmissionInput): SchedulerSummary {
+  const waitInput = makeWaitInput(input);
+  const { slots, freeSlots } = waitInput;
+  const tierCount = Math.max(0, ...input.queue.listTiers().map((tier) => tier + 1));
+  const waitMsByTier = Array.from({ length: tierCount }, (_, tier) =>
+    estimateTierWait(waitInput, tier),
+  );
+  return { waitMsByTier, usedSlots: slots - freeSlots, slots };
+}
+
+/** Refuses a request under which servers crash. */
+export function checkPoison(request: QueuedRequest, ledger: CrashLedger): Refusal | undefined {
+  const { fingerprint } = request;
+  if (ledger.getVerdict(fingerprint) !== 'poison') return undefined;
+  const crashedServerIds = ledger.listCrashedServers(fingerprint);
+  return { cause: { kind: 'poison-request', fingerprint, crashedServerIds }, retryAfterMs: 0 };
+}
+
+/** Refuses a request that no server could start within its budget. */
+function checkServers(request: QueuedRequest, input: AdmissionInput): Refusal | undefined {
+  const { queue, table, nowMs } = input;
+  const excluded = request.excludedServerIds;
+  const isAllowed = ({ id }: { id: string }) => !excluded.includes(id);
+  if (table.listInState('healthy', nowMs).some(isAllowed)) return undefined;
+  const lost = [...table.listInState('ejected', nowMs), ...table.listInState('down', nowMs)];
+  if (lost.some(isAllowed) && excluded.length === 0) {
+    const probeInMs = lost.some(({ id }) => table.health.isProbeDue(id, nowMs))
+      ? 0
+      : table.health.getNextChangeMs(nowMs) - nowMs;
+    const budgetMs = resolveBudgetMs(queue.getClass(request.className).settings);
+    if (probeInMs < budgetMs) return undefined;
+  }
+  return makeNoServerRefusal(table, nowMs);
+}
+
+/** Refuses a request whose estimated wait passes the budget of its class. */
+function checkWait(request: QueuedRequest, input: AdmissionInput): Refusal | undefined {
+  const { queue, nowMs } = input;
+  const waitInput = makeWaitInput(input);
+  if (waitInput.slots === 0) return undefined;
+  const classQueue = queue.getClass(request.className);
+  const budgetMs = resolveBudgetMs(classQueue.settings);
+  const waitMs = estimateClassWait(waitInput, classQueue);
+  const waitedMs = nowMs - resolveQueuedSince(request, nowMs);
+  if (waitMs === 0 || waitedMs + waitMs <= budgetMs) return undefined;
+  const cause: Cause = {
+    kind: 'queue-wait-over-budget',
+    estimatedWaitMs: waitMs,
+    budgetMs,
+    requestsAheadByTier: queue.countByTier(classQueue.settings.tier),
+    usedSlotsByClass: input.table.countUsedByClass(),
+  };
+  return { cause, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs - budgetMs) };
+}
+
+export function makeQueueFullRefusal(input: AdmissionInput, queueLimit: number): Refusal {
+  const { queue, table, meanServiceMs } = input;
+  const cause: Cause = {
+    kind: 'queue-full',
+    queueLength: queue.length,
+    queueLimit,
+    usedSlotsByClass: table.countUsedByClass(),
+  };
+  return { cause, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(meanServiceMs)) };
+}
+
+/** The cause of a request whose time in the queue is over. */
+export function makeTimeoutRefusal(input: AdmissionInput, queuedSinceMs: number): Refusal {
+  const { table, nowMs } = input;
+  if (table.listInState('healthy', nowMs).length === 0) return makeNoServerRefusal(table, nowMs);
+  const cause: Cause = {
+    kind: 'queue-timeout',
+    waitedMs: nowMs - queuedSinceMs,
+    usedSlotsByClass: table.countUsedByClass(),
+  };
+  return { cause, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(input.meanServiceMs)) };
+}
+
+function makeNoServerRefusal(table: ServerTable, nowMs: number): Refusal {
+  const cause: Cause = { kind: 'no-healthy-server', serversByState: table.countByState(nowMs) };
+  return { cause, retryAfterMs: PROBE_INTERVAL_MS };
+}
--- /dev/null
+++ b/packages/policy/src/rendezvous.ts
@@ -0,0 +1,52 @@
+import murmurhash from 'murmurhash';
+
+const MAX_CACHED_NAMES = 65_536;
+const nameHashes = new Map<string, number>();
+
+/** Hash of a text as an unsigned 32-bit integer (MurmurHash3). */
+export function hashToUint32(text: string, seed = 0): number {
+  return murmurhash.v3(text, seed);
+}
+
+/** Names recur, so their hashes are kept; the map is cleared when it is full. */
+function hashName(name: string): number {
+  const known = nameHashes.get(name);
+  if (known !== undefined) return known;
+  if (nameHashes.size >= MAX_CACHED_NAMES) nameHashes.clear();
+  const hash = hashToUint32(name);
+  nameHashes.set(name, hash);
+  return hash;
+}
+
+/** Score of a pair of 32-bit hashes (the finalizer of MurmurHash3), an unsigned 32-bit integer. */
+export function computeScore(keyHash: number, nameHash: number): number {
+  let mixed = Math.imul(keyHash ^ Math.imul(nameHash, 0x9e3779b1), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+/** Owner chosen by the hash of a key; ties go to the lower name, so the order of names is irrelevant. */
+export function chooseOwnerByHash(
+  keyHash: number,
+  instanceIds: readonly string[],
+): string | undefined {
+  let owner: string | undefined;
+  let bestScore = -1;
+  for (const instanceId of instanceIds) {
+    const score = computeScore(keyHash, hashName(instanceId));
+    if (score < bestScore) continue;
+    if (score === bestScore && owner !== undefined && instanceId > owner) continue;
+    owner = instanceId;
+    bestScore = score;
+  }
+  return owner;
+}
+
+/**
+ * Owner of a key by rendezvous hashing: when an instance leaves, only its own keys move.
+ * Undefined when there is no instance.
+ */
+export function chooseOwner(key: string, instanceIds: readonly string[]): string | undefined {
+  return chooseOwnerByHash(hashName(key), instanceIds);
+}
--- /dev/null
+++ b/packages/policy/src/scheduler.ts
@@ -0,0 +1,296 @@
+import {
+  checkPoison,
+  findRefusal,
+  makeQueueFullRefusal,
+  makeTimeoutRefusal,
+  summarizeLoad,
+  type AdmissionInput,
+  type Refusal,
+} from './admission';
+import { CrashLedger, makeConstraint } from './crash-ledger';
+import type { DecisionEvent } from './decision-log';
+import type { WaitingRequest } from './fair-queue';
+import { Floors } from './floors';
+import { LengthEstimates } from './length-estimate';
+import { RequestQueue } from './queue';
+import { RecentIds } from './recent-ids';
+import { ServerTable, type HeldGrant } from './server-table';
+import type { SchedulerOptions } from './scheduler-options';
+import { StartPass, type StartChoice } from './start-choice';
+import { TeamLimits } from './team-limits';
+import type {
+  AdoptedGrant,
+  Decision,
+  FinishedGrant,
+  QueuedRequest,
+  Scheduler,
+  SchedulerSummary,
+  SchedulingClass,
+  SchedulingTeam,
+  ShardServer,
+} from './types';
+
+const DEFAULT_QUEUE_LIMIT = 10_000;
+/** Crash records last minutes, so expiry needs no finer step, in milliseconds. */
+const LEDGER_EXPIRY_INTERVAL_MS = 1000;
+
+/**
+ * Creates the scheduler of one shard. It never throws for what callers send: unknown and repeated attempts
+ * are ignored, and a clock that steps back counts as standing still.
+ */
+export function createScheduler(options: SchedulerOptions = {}): Scheduler {
+  return new ShardScheduler(options);
+}
+
+class ShardScheduler implements Scheduler {
+  private readonly queue = new RequestQueue();
+  private readonly floors = new Floors();
+  private readonly table = new ServerTable();
+  private readonly ledger = new CrashLedger();
+  private readonly limits: TeamLimits;
+  private readonly lengths = new LengthEstimates();
+  /** Sheds that were decided and not yet taken. */
+  private pending = new Map<string, Decision>();
+  /** Shed or withdrawn here. */
+  private readonly closed = new RecentIds();
+  private readonly finished = new RecentIds();
+  private nowMs = 0;
+  private nextLedgerExpiryMs = 0;
+  private hasChanged = false;
+
+  constructor(private readonly options: SchedulerOptions) {
+    this.limits = new TeamLimits(options.shardCount ?? 1);
+  }
+
+  updateClasses(classes: readonly SchedulingClass[]): void {
+    this.queue.updateClasses(classes);
+    this.hasChanged = true;
+  }
+
+  updateTeams(teams: readonly SchedulingTeam[]): void {
+    this.limits.update(teams);
+  }
+
+  updateServers(servers: readonly ShardServer[], nowMs: number): void {
+    this.setNow(nowMs);
+    this.table.update(servers);
+  }
+
+  enqueue(request: QueuedRequest, nowMs: number): void {
+    this.setNow(nowMs);
+    if (this.isKnown(request.attemptId)) return;
+    const { attemptId, className, fingerprint, excludedServerIds } = request;
+    const { tier } = this.queue.getClass(className).settings;
+    this.emit({
+      ...{ kind: 'enqueue', atMs: this.nowMs, attemptId, className, tier },
+      ...{ fingerprint, excludedServerIds },
+    });
+    const refusal = findRefusal(request, this.makeAdmissionInput());
+    if (refusal !== undefined) {
+      this.shed(attemptId, refusal);
+      return;
+    }
+    this.limits.addAttempt(request.team);
+    const constraint = makeConstraint(request, this.ledger);
+    this.queue.add(request, this.nowMs, { constraint, ...this.lengths.estimate(request) });
+    this.shedExcess();
+  }
+
+  withdraw(attemptId: string): void {
+    if (this.table.getGrant(attemptId) !== undefined) return;
+    this.pending.delete(attemptId);
+    this.removeWaiting(attemptId);
+    this.closed.add(attemptId);
+  }
+
+  adopt(grant: AdoptedGrant): void {
+    if (this.finished.has(grant.attemptId)) return;
+    this.pending.delete(grant.attemptId);
+    this.removeWaiting(grant.attemptId);
+    const known = this.table.getGrant(grant.attemptId);
+    if (known !== undefined) {
+      if (known.serverId === grant.serverId) return;
+      this.removeGrant(known);
+    }
+    const { tier } = this.queue.getClass(grant.className).settings;
+    this.limits.addAttempt(grant.team);
+    this.table.addGrant({ ...grant, tier, isProbe: false });
+  }
+
+  finish(finished: FinishedGrant, nowMs: number): void {
+    this.setNow(nowMs);
+    const { attemptId, result } = finished;
+    if (this.queue.get(attemptId) !== undefined || this.pending.has(attemptId)) return;
+    this.finished.add(attemptId);
+    const grant = this.table.getGrant(attemptId);
+    if (grant === undefined) return;
+    this.removeGrant(grant);
+    this.emit({ kind: 'finish', atMs: this.nowMs, attemptId, result });
+    this.table.health.observe(grant.serverId, finished, grant.isProbe, this.nowMs);
+    if (result === 'server-crashed') {
+      this.ledger.record(grant.fingerprint, grant.serverId, this.nowMs, grant.grantedAtMs);
+      this.updateVerdict(grant.fingerprint);
+    }
+    if (result !== 'completed') return;
+    const serviceMs = Math.max(0, this.nowMs - grant.grantedAtMs);
+    this.lengths.observe(grant.className, grant.team, serviceMs, finished.outputTokens ?? 0);
+    this.clearCrash(grant.fingerprint);
+  }
+
+  observeCrash(fingerprint: string, serverId: string, nowMs: number): void {
+    this.ledger.record(fingerprint, serverId, nowMs);
+    this.updateVerdict(fingerprint);
+    this.hasChanged = true;
+  }
+
+  clearCrash(fingerprint: string): void {
+    if (this.ledger.getVerdict(fingerprint) === 'clean') return;
+    this.ledger.clear(fingerprint, this.nowMs);
+    this.updateVerdict(fingerprint);
+    this.hasChanged = true;
+  }
+
+  takeDecisions(nowMs: number): Decision[] {
+    this.setNow(nowMs);
+    this.expireCrashes();
+    this.shedTimedOut();
+    const decisions = [...this.pending.values()];
+    this.pending = new Map();
+    if (this.queue.length > 0) this.startWaiting(decisions);
+    this.hasChanged = false;
+    return decisions;
+  }
+
+  getNextWakeMs(): number {
+    if (this.hasChanged || this.pending.size > 0) return this.nowMs;
+    if (this.queue.length === 0) return Infinity;
+    return Math.min(this.queue.getNextTimeoutMs(), this.table.health.getNextChangeMs(this.nowMs));
+  }
+
+  listWaiting(): string[] {
+    return this.queue.listAttemptIds();
+  }
+
+  listGranted(): string[] {
+    return this.table.listGranted();
+  }
+
+  summarize(nowMs: number): SchedulerSummary {
+    this.nowMs = Math.max(this.nowMs, nowMs);
+    return summarizeLoad(this.makeAdmissionInput());
+  }
+
+  /** Takes in the clock of a call that may make decisions due. */
+  private setNow(nowMs: number): void {
+    this.nowMs = Math.max(this.nowMs, nowMs);
+    this.hasChanged = true;
+  }
+
+  private isKnown(attemptId: string): boolean {
+    return (
+      this.queue.get(attemptId) !== undefined ||
+      this.table.getGrant(attemptId) !== undefined ||
+      this.closed.has(attemptId) ||
+      this.finished.has(attemptId)
+    );
+  }
+
+  private makeAdmissionInput(): AdmissionInput {
+    const { queue, table, ledger, limits, nowMs } = this;
+    const { headroomRatio } = this.options;
+    const meanServiceMs = this.lengths.getMeanServiceMs();
+    return { queue, table, ledger, limits, nowMs, headroomRatio, meanServiceMs };
+  }
+
+  private shedExcess(): void {
+    const limit = this.options.queueLimit ?? DEFAULT_QUEUE_LIMIT;
+    for (;;) {
+      const evicted = this.queue.findExcess(limit);
+      if (evicted === undefined) return;
+      this.shedWaiting(evicted, makeQueueFullRefusal(this.makeAdmissionInput(), limit));
+    }
+  }
+
+  private shedTimedOut(): void {
+    for (;;) {
+      const late = this.queue.findTimedOut(this.nowMs);
+      if (late === undefined) return;
+      this.shedWaiting(late, makeTimeoutRefusal(this.makeAdmissionInput(), late.queuedSinceMs));
+    }
+  }
+
+  private shedWaiting(waiting: WaitingRequest, refusal: Refusal): void {
+    this.queue.remove(waiting);
+    this.limits.removeAttempt(waiting.request.team);
+    this.shed(waiting.request.attemptId, refusal);
+  }
+
+  private shed(attemptId: string, { cause, retryAfterMs }: Refusal): void {
+    this.pending.set(attemptId, { kind: 'shed', attemptId, cause, retryAfterMs });
+    this.closed.add(attemptId);
+    this.emit({ kind: 'shed', atMs: this.nowMs, attemptId, cause });
+  }
+
+  private startWaiting(decisions: Decision[]): void {
+    const { queue, floors, table, ledger, nowMs } = this;
+    const { headroomRatio } = this.options;
+    const pass = new StartPass({ queue, floors, table, ledger, nowMs, headroomRatio });
+    for (;;) {
+      const choice = pass.chooseNext();
+      if (choice === undefined) break;
+      decisions.push(this.grant(choice));
+    }
+    for (const classQueue of queue.classes) classQueue.resetPass();
+  }
+
+  private grant({ waiting, serverId, reason, isFloorStart }: StartChoice): Decision {
+    const { request, classQueue, enqueuedAtMs } = waiting;
+    const { attemptId, className, team, fingerprint } = request;
+    const { tier } = classQueue.settings;
+    this.floors.recordStart(this.queue.classes, classQueue, isFloorStart);
+    this.queue.takeStarted(waiting, this.limits.getWeight(team));
+    const isProbe = reason === 'probe';
+    if (isProbe) this.table.health.recordProbe(serverId, this.nowMs);
+    const grantedAtMs = this.nowMs;
+    this.table.addGrant({
+      ...{ attemptId, serverId, className, tier, team, fingerprint, grantedAtMs, isProbe },
+    });
+    this.emit({ kind: 'start', atMs: this.nowMs, attemptId, className, tier, serverId, reason });
+    const queuedMs = this.nowMs - enqueuedAtMs;
+    return { kind: 'grant', attemptId, serverId, reason, queuedMs, tier };
+  }
+
+  private removeGrant(grant: HeldGrant): void {
+    this.table.removeGrant(grant);
+    this.limits.removeAttempt(grant.team);
+  }
+
+  private removeWaiting(attemptId: string): void {
+    const waiting = this.queue.get(attemptId);
+    if (waiting === undefined) return;
+    this.queue.remove(waiting);
+    this.limits.removeAttempt(waiting.request.team);
+    this.emit({ kind: 'leave', atMs: this.nowMs, attemptId });
+  }
+
+  /** Applies a changed verdict on a fingerprint to the requests that wait with it. */
+  private updateVerdict(fingerprint: string): void {
+    const isSuspect = this.ledger.getVerdict(fingerprint) !== 'clean';
+    this.emit({ kind: 'suspect', atMs: this.nowMs, fingerprint, isSuspect });
+    for (const waiting of this.queue.listByFingerprint(fingerprint)) {
+      const refusal = checkPoison(waiting.request, this.ledger);
+      if (refusal !== undefined) this.shedWaiting(waiting, refusal);
+      else this.queue.updateConstraint(waiting, makeConstraint(waiting.request, this.ledger));
+    }
+  }
+
+  private expireCrashes(): void {
+    if (this.nowMs < this.nextLedgerExpiryMs) return;
+    this.nextLedgerExpiryMs = this.nowMs + LEDGER_EXPIRY_INTERVAL_MS;
+    for (const fingerprint of this.ledger.expire(this.nowMs)) this.updateVerdict(fingerprint);
+  }
+
+  private emit(event: DecisionEvent): void {
+    this.options.onEvent?.(event);
+  }
+}
