Test the policy package and measure a decision

Cause: the scheduler had no tests. Change: property tests with fixed seeds for P1, P2 and the single decision, tables of cases for each rule, and a benchmark.

--- /dev/null
+++ b/packages/policy/test/decision-cost.bench.ts
@@ -0,0 +1,60 @@
+import { bench, describe } from 'vitest';
+import { chooseOwner, type Scheduler } from '../src/index';
+import { createTestScheduler, makeClass, makeRequest, makeServer } from './fixtures';
+
+const WAITING = 10_000;
+const TEAMS = 500;
+const CLASSES = ['quick', 'mid', 'bulk'].map((name, tier) =>
+  makeClass(name, { tier, floorPercent: 10, preference: 'goodput', maxQueueMs: 10_000_000 }),
+);
+
+/** A shard of 16 servers with 16 slots each and 10,000 waiting requests. */
+function createFullScheduler(): Scheduler {
+  const servers = Array.from({ length: 16 }, (_, index) => makeServer(`s${index}`, 16));
+  const scheduler = createTestScheduler({ classes: CLASSES, servers, queueLimit: WAITING });
+  for (let index = 0; index < WAITING + 256; index += 1) addRequest(scheduler, index);
+  scheduler.takeDecisions(0);
+  for (let index = 0; index < 256; index += 1) addRequest(scheduler, WAITING + 256 + index);
+  scheduler.takeDecisions(0);
+  return scheduler;
+}
+
+function addRequest(scheduler: Scheduler, index: number): void {
+  scheduler.enqueue(
+    makeRequest(`r${index}`, {
+      className: CLASSES[index % 3]?.name ?? '',
+      team: `team-${index % TEAMS}`,
+      prefixHash: index % 100,
+      excludedServerIds: index % 10 === 0 ? [`s${index % 16}`] : [],
+      arrivedAtMs: index,
+    }),
+    0,
+  );
+}
+
+describe('scheduler with 10,000 waiting requests and 16 servers', () => {
+  const scheduler = createFullScheduler();
+  const running = scheduler.listGranted();
+  let created = 1_000_000;
+
+  bench('finish, enqueue and one decision', () => {
+    scheduler.finish(
+      { attemptId: running.shift() ?? '', result: 'completed', outputTokens: 50 },
+      1,
+    );
+    created += 1;
+    addRequest(scheduler, created);
+    for (const decision of scheduler.takeDecisions(1)) {
+      if (decision.kind === 'grant') running.push(decision.attemptId);
+    }
+  });
+});
+
+describe('rendezvous', () => {
+  const instances = Array.from({ length: 530 }, (_, index) => `instance-${index}`);
+  const keys = Array.from({ length: 7500 }, (_, index) => `server-${index}`);
+
+  bench('7,500 keys over 530 instances', () => {
+    for (const key of keys) chooseOwner(key, instances);
+  });
+});
--- /dev/null
+++ b/packages/policy/test/decision-log.test.ts
@@ -0,0 +1,69 @@
+import { expect, test } from 'vitest';
+import { checkNoStarvation, checkTierOrder, type DecisionEvent } from '../src/index';
+import { makeClass } from './fixtures';
+
+type Shed = Extract<DecisionEvent, { kind: 'shed' }>;
+
+const TIER_BY_CLASS = { quick: 0, bulk: 2 } as const;
+type ClassName = keyof typeof TIER_BY_CLASS;
+
+function makeEnqueue(
+  attemptId: string,
+  className: ClassName,
+  excluded: string[] = [],
+): DecisionEvent {
+  const fields = { atMs: 0, fingerprint: attemptId, excludedServerIds: excluded };
+  return { kind: 'enqueue', attemptId, className, tier: TIER_BY_CLASS[className], ...fields };
+}
+
+function makeStart(
+  attemptId: string,
+  className: ClassName,
+  reason: 'tier' | 'floor' | 'probe' = 'tier',
+): DecisionEvent {
+  const fields = { atMs: 1, serverId: 's1', reason };
+  return { kind: 'start', attemptId, className, tier: TIER_BY_CLASS[className], ...fields };
+}
+
+const timeout: Shed['cause'] = { kind: 'queue-timeout', waitedMs: 1, usedSlotsByClass: {} };
+const full: Shed['cause'] = {
+  kind: 'queue-full',
+  queueLength: 2,
+  queueLimit: 1,
+  usedSlotsByClass: {},
+};
+const limit: Shed['cause'] = { kind: 'team-limit', limit: 'concurrent-requests', limitValue: 1 };
+
+function makeShed(attemptId: string, cause: Shed['cause'] = timeout): DecisionEvent {
+  return { kind: 'shed', atMs: 2, attemptId, cause };
+}
+
+const suspectQ: DecisionEvent = { kind: 'suspect', atMs: 0, fingerprint: 'q', isSuspect: true };
+const enqueueBoth = [makeEnqueue('q', 'quick'), makeEnqueue('b', 'bulk')];
+
+// Guards against a predicate that sees no violation, or sees one where the design allows the start.
+test.each<[string, DecisionEvent[], number]>([
+  ['lower tier started', [...enqueueBoth, makeStart('b', 'bulk'), makeShed('q')], 1],
+  ['floor start', [...enqueueBoth, makeStart('b', 'bulk', 'floor'), makeShed('q')], 0],
+  ['probe', [...enqueueBoth, makeStart('b', 'bulk', 'probe'), makeShed('q')], 0],
+  ['started before', [makeStart('b', 'bulk'), makeEnqueue('q', 'quick'), makeShed('q')], 0],
+  ['excluded', [makeEnqueue('q', 'quick', ['s1']), makeStart('b', 'bulk'), makeShed('q')], 0],
+  ['suspect', [...enqueueBoth, suspectQ, makeStart('b', 'bulk'), makeShed('q')], 0],
+  ['team limit', [...enqueueBoth, makeStart('b', 'bulk'), makeShed('q', limit)], 0],
+  ['full, lower waits', [...enqueueBoth, makeShed('q', full)], 1],
+  ['full, higher waits', [...enqueueBoth, makeShed('b', full)], 0],
+])('P1: %s', (_, events, expected) => {
+  expect(checkTierOrder(events)).toHaveLength(expected);
+});
+
+// Guards against a predicate that misses a starved class; the bound at 25% and 2 classes is 6 starts.
+test.each([
+  { starts: 5, events: [makeEnqueue('b', 'bulk')], expected: 0 },
+  { starts: 6, events: [makeEnqueue('b', 'bulk')], expected: 1 },
+  { starts: 6, events: [], expected: 0 },
+  { starts: 6, events: [makeEnqueue('b', 'bulk', ['s1'])], expected: 0 },
+])('P2: $starts starts of another class', ({ starts, events, expected }) => {
+  const classes = [makeClass('quick'), makeClass('bulk', { floorPercent: 25 })];
+  const others = Array.from({ length: starts }, (_, index) => makeStart(`q${index}`, 'quick'));
+  expect(checkNoStarvation([...events, ...others], classes)).toHaveLength(expected);
+});
--- /dev/null
+++ b/packages/policy/test/scheduler-properties.test.ts
@@ -0,0 +1,245 @@
+import fc from 'fast-check';
+import { describe, expect, test } from 'vitest';
+import {
+  checkNoStarvation,
+  checkTierOrder,
+  type DecisionEvent,
+  type FinishResult,
+  type ShardServer,
+} from '../src/index';
+import { createTestScheduler, makeClass, makeRequest, makeServer } from './fixtures';
+
+const CLASSES = [
+  makeClass('quick', { floorPercent: 10, targetFirstByteMs: 300 }),
+  makeClass('order', { floorPercent: 5, targetFirstByteMs: 200 }),
+  makeClass('mid', { tier: 1, floorPercent: 20, preference: 'goodput', maxQueueMs: 900 }),
+  makeClass('bulk', { tier: 2, floorPercent: 15, preference: 'goodput', maxQueueMs: 2000 }),
+];
+const RESULTS: readonly FinishResult[] = [
+  'completed',
+  'completed',
+  'completed',
+  'failed',
+  'cancelled',
+  'not-sent',
+  'server-crashed',
+  'server-refused',
+  'server-draining',
+  'server-silent',
+];
+const SERVERS = [
+  makeServer('s1', 2),
+  makeServer('s2', 3),
+  makeServer('s3', 1),
+  makeServer('s4', 4),
+];
+
+const pick = fc.nat({ max: 1000 });
+const step = fc.oneof(
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      kind: fc.constant('enqueue' as const),
+      // Bursts of the highest tier are what starves the others.
+      className: fc.constantFrom('quick', 'quick', 'quick', 'order', 'mid', 'bulk', 'bulk'),
+      team: fc.constantFrom('team-1', 'team-2', 'team-3'),
+      fingerprint: fc.option(fc.constantFrom('f1', 'f2', 'f3')),
+      excluded: fc.option(fc.constantFrom('s1', 's2', 's3', 's4'), { freq: 9 }),
+      ageMs: fc.constantFrom(0, 0, 0, 5, 150),
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('finish' as const),
+      pick,
+      result: fc.constantFrom(...RESULTS),
+    }),
+  },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('complete' as const), pick }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('withdraw' as const), pick }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('repeat' as const), pick }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('adopt' as const), pick }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('wait' as const), pick }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('crash' as const), pick }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('clear' as const), pick }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('servers' as const), states: fc.array(fc.nat(9)) }),
+  },
+);
+type Step = typeof step extends fc.Arbitrary<infer S> ? S : never;
+
+/** Drives a scheduler and checks each decision against what the caller knows. */
+class Driver {
+  readonly events: DecisionEvent[] = [];
+  readonly problems: string[] = [];
+  private nowMs = 0;
+  private created = 0;
+  private servers: ShardServer[] = SERVERS;
+  private readonly enqueued: ReturnType<typeof makeRequest>[] = [];
+  private readonly decided = new Set<string>();
+  private readonly withdrawn = new Set<string>();
+  private readonly held = new Map<string, string>();
+  private readonly suspects = new Set<string>();
+  private readonly scheduler = createTestScheduler({
+    classes: CLASSES,
+    servers: SERVERS,
+    queueLimit: 15,
+    onEvent: (event) => {
+      this.events.push(event);
+      if (event.kind !== 'suspect') return;
+      if (event.isSuspect) this.suspects.add(event.fingerprint);
+      else this.suspects.delete(event.fingerprint);
+    },
+  });
+
+  run(steps: readonly Step[]): void {
+    for (const next of steps) {
+      this.apply(next);
+      this.checkDecisions();
+    }
+  }
+
+  private apply(next: Step): void {
+    const { scheduler, nowMs } = this;
+    switch (next.kind) {
+      case 'enqueue': {
+        this.created += 1;
+        const attemptId = `r${this.created}`;
+        const request = makeRequest(attemptId, {
+          className: next.className,
+          team: next.team,
+          fingerprint: next.fingerprint ?? attemptId,
+          excludedServerIds: next.excluded === null ? [] : [next.excluded],
+          arrivedAtMs: nowMs - next.ageMs,
+          isRetry: next.excluded !== null,
+          prefixHash: this.created % 3,
+        });
+        this.enqueued.push(request);
+        scheduler.enqueue(request, nowMs);
+        return;
+      }
+      case 'finish':
+      case 'complete': {
+        const attemptId = this.selectHeld(next.pick);
+        if (attemptId === undefined) return;
+        this.held.delete(attemptId);
+        const result = next.kind === 'finish' ? next.result : 'completed';
+        scheduler.finish({ attemptId, result, firstTokenMs: 50, meanGapMs: next.pick }, nowMs);
+        return;
+      }
+      case 'withdraw': {
+        const attemptId = this.selectEnqueued(next.pick)?.attemptId ?? `later-${next.pick}`;
+        if (!this.held.has(attemptId)) this.withdrawn.add(attemptId);
+        scheduler.withdraw(attemptId);
+        return;
+      }
+      case 'repeat': {
+        const request = this.selectEnqueued(next.pick);
+        if (request !== undefined) scheduler.enqueue(request, nowMs);
+        return;
+      }
+      case 'adopt': {
+        const attemptId = `adopted-${next.pick}`;
+        const serverId = SERVERS[next.pick % SERVERS.length]?.id ?? '';
+        if (this.decided.has(attemptId)) return;
+        this.decided.add(attemptId);
+        this.held.set(attemptId, serverId);
+        const fields = { className: 'mid', team: 'team-1', fingerprint: 'f1', grantedAtMs: nowMs };
+        scheduler.adopt({ attemptId, serverId, ...fields });
+        return;
+      }
+      case 'wait':
+        this.nowMs += next.pick % 120;
+        return;
+      case 'crash':
+        scheduler.observeCrash(`f${(next.pick % 3) + 1}`, `s${(next.pick % 4) + 1}`, nowMs);
+        return;
+      case 'clear':
+        scheduler.clearCrash(`f${(next.pick % 3) + 1}`);
+        return;
+      case 'servers':
+        this.servers = SERVERS.filter((_, index) => next.states[index] !== 0).map(
+          (server, index) => ({ ...server, isLeaving: next.states[index] === 1 }),
+        );
+        scheduler.updateServers(this.servers, nowMs);
+        return;
+    }
+  }
+
+  private checkDecisions(): void {
+    for (const decision of this.scheduler.takeDecisions(this.nowMs)) {
+      const { attemptId } = decision;
+      if (this.decided.has(attemptId)) this.problems.push(`${attemptId} decided twice`);
+      if (this.withdrawn.has(attemptId)) this.problems.push(`${attemptId} withdrawn, decided`);
+      this.decided.add(attemptId);
+      if (decision.kind === 'shed') continue;
+      const server = this.servers.find(({ id }) => id === decision.serverId);
+      const used = [...this.held.values()].filter((id) => id === decision.serverId).length;
+      if (server === undefined || used >= server.slots) this.problems.push(`${attemptId} no slot`);
+      if (server?.isLeaving === true) this.problems.push(`${attemptId} on a leaving server`);
+      const request = this.enqueued.find((other) => other.attemptId === attemptId);
+      if (request?.excludedServerIds.includes(decision.serverId)) {
+        this.problems.push(`${attemptId} on an excluded server`);
+      }
+      this.checkIsolation(attemptId, decision.serverId);
+      this.held.set(attemptId, decision.serverId);
+    }
+    const granted = new Set(this.scheduler.listGranted());
+    const isSame =
+      granted.size === this.held.size && [...this.held.keys()].every((id) => granted.has(id));
+    if (!isSame) this.problems.push('listGranted differs from the grants in use');
+  }
+
+  /** A suspect starts alone on its server as a suspect, and once at a time. */
+  private checkIsolation(attemptId: string, serverId: string): void {
+    const fingerprint = this.getFingerprint(attemptId);
+    if (!this.suspects.has(fingerprint)) return;
+    for (const [otherId, otherServerId] of this.held) {
+      const other = this.getFingerprint(otherId);
+      if (other === fingerprint) this.problems.push(`${attemptId} runs beside ${otherId}`);
+      if (otherServerId !== serverId || !this.suspects.has(other)) continue;
+      this.problems.push(`suspects ${attemptId} and ${otherId} on ${serverId}`);
+    }
+  }
+
+  private getFingerprint(attemptId: string): string {
+    return this.enqueued.find((other) => other.attemptId === attemptId)?.fingerprint ?? 'f1';
+  }
+
+  private selectHeld(index: number): string | undefined {
+    return [...this.held.keys()][index % Math.max(1, this.held.size)];
+  }
+
+  private selectEnqueued(index: number) {
+    return this.enqueued[this.enqueued.length - 1 - (index % 20)];
+  }
+}
+
+function checkRuns(check: (driver: Driver) => void, seed: number): void {
+  const steps = fc.array(step, { minLength: 50, maxLength: 500, size: 'max' });
+  const property = fc.property(steps, (list) => {
+    const driver = new Driver();
+    driver.run(list);
+    check(driver);
+  });
+  fc.assert(property, { seed, numRuns: 150 });
+}
+
+describe('random arrivals, finishes, crashes and repeats', () => {
+  // Guards against a higher tier paying for a lower one (G1).
+  test('P1: no higher tier is shed to make room for a lower one', () => {
+    checkRuns((driver) => expect(checkTierOrder(driver.events)).toEqual([]), 101);
+  });
+
+  // Guards against a class that waits for ever during another's burst (G2).
+  test('P2: no class with a floor starves', () => {
+    checkRuns((driver) => expect(checkNoStarvation(driver.events, CLASSES)).toEqual([]), 102);
+  });
+
+  // Guards against double or late grants, lost slots, and work on servers that must not get it.
+  test('each attempt gets at most one decision, on a server that may run it', () => {
+    checkRuns((driver) => expect(driver.problems).toEqual([]), 103);
+  });
+});
--- /dev/null
+++ b/packages/policy/test/scheduler.test.ts
@@ -0,0 +1,430 @@
+import { describe, expect, test } from 'vitest';
+import type { Cause } from '@pollendrum/protocol';
+import type { FinishResult, QueuedRequest, Scheduler } from '../src/index';
+import {
+  createTestScheduler,
+  makeClass,
+  makeRequest,
+  makeServer,
+  toText,
+  type SchedulerSetup,
+} from './fixtures';
+
+const TIERS = [
+  makeClass('quick', { targetFirstByteMs: 10_000 }),
+  makeClass('mid', { tier: 1, targetFirstByteMs: 10_000 }),
+  makeClass('bulk', { tier: 2, targetFirstByteMs: 10_000 }),
+];
+
+function finishAttempt(scheduler: Scheduler, attemptId: string, nowMs: number): void {
+  scheduler.finish({ attemptId, result: 'completed', outputTokens: 10 }, nowMs);
+}
+
+/** Occupies the slot of a shard with one slot, enqueues, and returns the order of starts. */
+function listStartOrder(setup: SchedulerSetup, requests: readonly QueuedRequest[]): string[] {
+  const scheduler = createTestScheduler(setup);
+  scheduler.enqueue(makeRequest('first', { team: 'other', arrivedAtMs: -1 }), 0);
+  scheduler.takeDecisions(0);
+  for (const request of requests) scheduler.enqueue(request, 1);
+  const order: string[] = [];
+  for (let last = 'first'; ; last = order.at(-1) ?? '') {
+    finishAttempt(scheduler, last, 1);
+    const started = scheduler.takeDecisions(1).find(({ kind }) => kind === 'grant');
+    if (started === undefined) return order;
+    order.push(started.attemptId);
+  }
+}
+
+describe('order of starts', () => {
+  // Guards against a lower tier, a later deadline or a later arrival that goes first.
+  test.each<{ rule: string; requests: QueuedRequest[]; expected: string[] }>([
+    {
+      rule: 'strict tiers',
+      requests: [
+        makeRequest('b', { className: 'bulk' }),
+        makeRequest('m', { className: 'mid' }),
+        makeRequest('q'),
+      ],
+      expected: ['q', 'm', 'b'],
+    },
+    {
+      rule: 'earliest deadline within a tier',
+      requests: [
+        makeRequest('slow', { arrivedAtMs: 0 }),
+        makeRequest('fast', { className: 'fast' }),
+      ],
+      expected: ['fast', 'slow'],
+    },
+    {
+      rule: 'arrival within a team, kept over a takeover',
+      requests: [makeRequest('new', { arrivedAtMs: 1 }), makeRequest('old', { arrivedAtMs: 0 })],
+      expected: ['old', 'new'],
+    },
+  ])('$rule', ({ requests, expected }) => {
+    const classes = [...TIERS, makeClass('fast', { targetFirstByteMs: 500 })];
+    expect(listStartOrder({ classes }, requests)).toEqual(expected);
+  });
+
+  // Guards against a large team that crowds out a small one, and against ignored weights.
+  test('teams share a class by weight', () => {
+    const scheduler = createTestScheduler({ classes: TIERS });
+    scheduler.updateTeams([
+      { name: 'large', weight: 3 },
+      { name: 'small', weight: 1 },
+    ]);
+    for (let index = 0; index < 40; index += 1) {
+      scheduler.enqueue(makeRequest(`large-${index}`, { team: 'large' }), 0);
+      scheduler.enqueue(makeRequest(`small-${index}`, { team: 'small' }), 0);
+    }
+    const counts = { large: 0, small: 0 };
+    for (let start = 0; start < 20; start += 1) {
+      const attemptId = scheduler.takeDecisions(0)[0]?.attemptId ?? '';
+      counts[attemptId.startsWith('large') ? 'large' : 'small'] += 1;
+      finishAttempt(scheduler, attemptId, 0);
+    }
+    expect(counts).toEqual({ large: 15, small: 5 });
+  });
+
+  // Guards against floors that are skipped or exceeded while a higher tier is always backlogged.
+  test('a floor gives its share of starts', () => {
+    const bulk = makeClass('bulk', { tier: 2, floorPercent: 20, targetFirstByteMs: 10_000 });
+    const classes = [makeClass('quick', { targetFirstByteMs: 10_000 }), bulk];
+    const requests = Array.from({ length: 50 }, (_, index) => [
+      makeRequest(`q${index}`),
+      makeRequest(`b${index}`, { className: 'bulk' }),
+    ]).flat();
+    const order = listStartOrder({ classes }, requests).slice(0, 50);
+    const floorStarts = order.flatMap((id, index) => (id.startsWith('b') ? [index] : []));
+    // Five starts make the class due, and it starts in each fifth from then on.
+    expect(floorStarts).toEqual([5, 10, 15, 20, 25, 30, 35, 40, 45]);
+  });
+
+  // Guards against lower tiers that leave a higher one without a free slot.
+  test.each([
+    ['bulk', 8],
+    ['mid', 9],
+    ['quick', 10],
+  ])('class %s may use %i of 10 slots', (className, expected) => {
+    const scheduler = createTestScheduler({ classes: TIERS, servers: [makeServer('s1', 10)] });
+    for (let index = 0; index < 12; index += 1) {
+      scheduler.enqueue(makeRequest(`r${index}`, { className }), 0);
+    }
+    expect(scheduler.takeDecisions(0)).toHaveLength(expected);
+  });
+});
+
+describe('choice of a server', () => {
+  const servers = [
+    makeServer('s1', 4, { failureDomain: 'b' }),
+    makeServer('s2', 4),
+    makeServer('s3', 4),
+  ];
+
+  // Guards against work on servers that must not get it and against ignored preferences.
+  test.each<[string, Partial<QueuedRequest>, string[]]>([
+    ['failure domain', { failureDomain: 'b' }, ['s1']],
+    ['fewest used slots', {}, ['s3']],
+    ['excluded servers', { excludedServerIds: ['s3'], isRetry: true }, ['s2']],
+    ['unknown failure domain', { failureDomain: 'z' }, ['s1', 's3']],
+  ])('%s', (_, fields, allowed) => {
+    const scheduler = createTestScheduler({ servers });
+    const held = { className: 'quick', team: 't', fingerprint: 'x', grantedAtMs: 0 };
+    scheduler.adopt({ attemptId: 'held', serverId: 's2', ...held });
+    scheduler.enqueue(makeRequest('r', fields), 0);
+    const [decision] = scheduler.takeDecisions(0);
+    expect(allowed).toContain(decision?.kind === 'grant' ? decision.serverId : undefined);
+  });
+
+  // Guards against lost prefix caches, and against a hot prefix that overloads its holder.
+  test('a prefix stays on one server until the load bound', () => {
+    const scheduler = createTestScheduler({ servers });
+    const used: string[] = [];
+    for (let index = 0; index < 6; index += 1) {
+      scheduler.enqueue(makeRequest(`r${index}`, { prefixHash: 77 }), 0);
+      used.push(toText(scheduler.takeDecisions(0))[0]?.split('>')[1] ?? '');
+    }
+    const holder = used[0];
+    const held = used.filter((id) => id === holder).length;
+    expect(held).toBe(3); // ceil(1.25 * 6 / 3)
+    finishAttempt(scheduler, 'r0', 0);
+    scheduler.enqueue(makeRequest('next', { prefixHash: 77 }), 0);
+    expect(toText(scheduler.takeDecisions(0))).toEqual([`next>${holder}`]);
+  });
+
+  // Guards against grants to a server that is leaving or said that it drains.
+  test.each<['list' | 'answer']>([['list'], ['answer']])(
+    'none on a leaving server (%s)',
+    (from) => {
+      const both = [makeServer('s1', 2), makeServer('s2', 2, { failureDomain: 'b' })];
+      const scheduler = createTestScheduler({ servers: both });
+      scheduler.enqueue(makeRequest('r1'), 0);
+      expect(toText(scheduler.takeDecisions(0))).toEqual(['r1>s1']);
+      if (from === 'answer') scheduler.finish({ attemptId: 'r1', result: 'server-draining' }, 1);
+      const isLeaving = from === 'list';
+      scheduler.updateServers(
+        [makeServer('s1', 2, { isLeaving }), both[1] ?? makeServer('s2', 2)],
+        2,
+      );
+      scheduler.enqueue(makeRequest('r2'), 2);
+      expect(toText(scheduler.takeDecisions(2))).toEqual(['r2>s2']);
+    },
+  );
+});
+
+describe('shedding', () => {
+  function createBusyScheduler(setup: SchedulerSetup = {}): Scheduler {
+    const scheduler = createTestScheduler(setup);
+    scheduler.enqueue(makeRequest('learn'), 0);
+    scheduler.takeDecisions(0);
+    finishAttempt(scheduler, 'learn', 400);
+    scheduler.enqueue(makeRequest('running', { arrivedAtMs: 400 }), 400);
+    scheduler.takeDecisions(400);
+    return scheduler;
+  }
+
+  // Guards against requests that wait in vain, and against goodput classes that are shed as early.
+  test.each([
+    ['attainment' as const, ['r2:queue-wait-over-budget', 'r3:queue-wait-over-budget']],
+    ['goodput' as const, []],
+  ])('early for %s', (preference, expected) => {
+    const scheduler = createBusyScheduler({ classes: [makeClass('quick', { preference })] });
+    for (let index = 0; index < 4; index += 1) {
+      scheduler.enqueue(makeRequest(`r${index}`, { arrivedAtMs: 400 }), 400);
+    }
+    expect(toText(scheduler.takeDecisions(400))).toEqual(expected);
+  });
+
+  // Guards against waits past the budget, and against a dispatcher that sleeps through a timeout.
+  test.each<[string, Partial<QueuedRequest>, number]>([
+    ['the class budget', {}, 1400],
+    ['the end of the request', { expiresAtMs: 700 }, 700],
+    ['its own wait when it is a retry', { isRetry: true, arrivedAtMs: -5000 }, 1400],
+  ])('after %s', (_, fields, expectedMs) => {
+    const scheduler = createBusyScheduler();
+    scheduler.enqueue(makeRequest('r', { arrivedAtMs: 400, ...fields }), 400);
+    expect(scheduler.takeDecisions(400)).toEqual([]);
+    expect(scheduler.getNextWakeMs()).toBe(expectedMs);
+    expect(scheduler.takeDecisions(expectedMs - 1)).toEqual([]);
+    expect(toText(scheduler.takeDecisions(expectedMs))).toEqual(['r:queue-timeout']);
+    expect(scheduler.getNextWakeMs()).toBe(Infinity);
+  });
+
+  // Guards against evicting a higher tier or an older request from a full queue.
+  test.each([
+    ['quick', 'b1'],
+    ['bulk', 'new'],
+  ])('a full queue evicts for class %s', (className, evicted) => {
+    const scheduler = createTestScheduler({ classes: TIERS, queueLimit: 3 });
+    scheduler.enqueue(makeRequest('running'), 0);
+    scheduler.takeDecisions(0);
+    scheduler.enqueue(makeRequest('b0', { className: 'bulk' }), 0);
+    scheduler.enqueue(makeRequest('b1', { className: 'bulk', arrivedAtMs: 1 }), 1);
+    scheduler.enqueue(makeRequest('m', { className: 'mid', arrivedAtMs: 2 }), 2);
+    scheduler.enqueue(makeRequest('new', { className, arrivedAtMs: 3 }), 3);
+    expect(toText(scheduler.takeDecisions(3))).toEqual([`${evicted}:queue-full`]);
+  });
+
+  // Guards against teams beyond their limits, and against retries that are counted twice.
+  test.each<[string, { requestsPerSecond?: number; concurrentRequests?: number }, string[]]>([
+    ['rate', { requestsPerSecond: 2 }, ['r2:team-limit']],
+    ['concurrency', { concurrentRequests: 1 }, ['r1:team-limit', 'r2:team-limit']],
+    ['no limit', {}, []],
+  ])('team limit: %s', (_, limits, expected) => {
+    const scheduler = createTestScheduler({ servers: [makeServer('s1', 9)] });
+    scheduler.updateTeams([{ name: 'team-1', weight: 1, ...limits }]);
+    for (let index = 0; index < 3; index += 1) scheduler.enqueue(makeRequest(`r${index}`), 0);
+    scheduler.enqueue(makeRequest('retry', { isRetry: true }), 0);
+    const sheds = scheduler.takeDecisions(0).filter(({ kind }) => kind === 'shed');
+    expect(toText(sheds)).toEqual(expected);
+  });
+
+  // Guards against waits for servers that do not exist.
+  test.each([
+    ['no server', [], {}],
+    ['only a leaving one', [makeServer('s1', 1, { isLeaving: true })], {}],
+    ['only the excluded one', [makeServer('s1', 1)], { excludedServerIds: ['s1'] }],
+  ])('%s', (_, servers, fields) => {
+    const scheduler = createTestScheduler({ servers });
+    scheduler.enqueue(makeRequest('r', fields), 0);
+    expect(toText(scheduler.takeDecisions(0))).toEqual(['r:no-healthy-server']);
+  });
+});
+
+describe('crashes', () => {
+  const servers = [makeServer('s1', 4), makeServer('s2', 4), makeServer('s3', 4)];
+
+  // Guards against suspects that share a server, and against copies of a suspect that run at once.
+  test('suspects run one per server and one attempt at a time', () => {
+    const scheduler = createTestScheduler({ servers: servers.slice(0, 2) });
+    for (const fingerprint of ['f1', 'f2', 'f3']) scheduler.observeCrash(fingerprint, 's9', 0);
+    for (const [attemptId, fingerprint] of [
+      ['a', 'f1'],
+      ['copy', 'f1'],
+      ['b', 'f2'],
+      ['c', 'f3'],
+    ] as const) {
+      scheduler.enqueue(makeRequest(attemptId, { fingerprint }), 0);
+    }
+    scheduler.enqueue(makeRequest('other', {}), 0);
+    const started = scheduler.takeDecisions(0).map(({ attemptId }) => attemptId);
+    expect(started).toEqual(['a', 'b', 'other']);
+    finishAttempt(scheduler, 'a', 1);
+    // The completed attempt cleared f1, so its copy is no longer isolated.
+    expect(scheduler.takeDecisions(1).map(({ attemptId }) => attemptId)).toEqual(['copy', 'c']);
+  });
+
+  // Guards against a third crash, against one crash counted twice, and against a lasting suspicion.
+  test.each<[string, [string, number][], boolean, Cause['kind'] | 'grant']>([
+    ['one crash', [['s1', 0]], false, 'grant'],
+    [
+      'two servers',
+      [
+        ['s1', 0],
+        ['s2', 5],
+      ],
+      false,
+      'poison-request',
+    ],
+    [
+      'one crash reported twice',
+      [
+        ['s1', 0],
+        ['s1', 3000],
+      ],
+      false,
+      'grant',
+    ],
+    [
+      'one server twice',
+      [
+        ['s1', 0],
+        ['s1', 60_000],
+      ],
+      false,
+      'poison-request',
+    ],
+    [
+      'cleared',
+      [
+        ['s1', 0],
+        ['s2', 5],
+      ],
+      true,
+      'grant',
+    ],
+  ])('%s', (_, crashes, isCleared, expected) => {
+    const scheduler = createTestScheduler({ servers });
+    for (const [serverId, atMs] of crashes) scheduler.observeCrash('f', serverId, atMs);
+    scheduler.takeDecisions(60_000);
+    if (isCleared) scheduler.clearCrash('f');
+    scheduler.enqueue(makeRequest('r', { fingerprint: 'f', arrivedAtMs: 60_000 }), 60_000);
+    const [decision] = scheduler.takeDecisions(60_000);
+    expect(decision?.kind === 'shed' ? decision.cause.kind : decision?.kind).toBe(expected);
+  });
+
+  // Guards against a waiting copy that still runs after the second crash, and against memory without end.
+  test('a second crash refuses what waits, and 10 minutes later it may run again', () => {
+    const scheduler = createTestScheduler();
+    scheduler.enqueue(makeRequest('running'), 0);
+    scheduler.takeDecisions(0);
+    scheduler.enqueue(makeRequest('r', { fingerprint: 'f' }), 0);
+    scheduler.observeCrash('f', 's8', 0);
+    scheduler.observeCrash('f', 's9', 1);
+    expect(toText(scheduler.takeDecisions(1))).toEqual(['r:poison-request']);
+    finishAttempt(scheduler, 'running', 2);
+    scheduler.takeDecisions(600_002);
+    scheduler.enqueue(makeRequest('again', { fingerprint: 'f', arrivedAtMs: 600_002 }), 600_002);
+    expect(toText(scheduler.takeDecisions(600_002))).toEqual(['again>s1']);
+  });
+});
+
+describe('server health', () => {
+  const servers = Array.from({ length: 8 }, (_, index) => makeServer(`s${index}`, 2));
+
+  /** Adopts and finishes attempts on every server; the slow ones are 10 times as slow. */
+  function runRounds(scheduler: Scheduler, slow: readonly string[], result: FinishResult): void {
+    for (let round = 0; round < 8; round += 1) {
+      for (const { id } of servers) {
+        const attemptId = `${id}-${round}-${slow.length}`;
+        const held = { className: 'quick', team: 't', fingerprint: attemptId, grantedAtMs: 0 };
+        scheduler.adopt({ attemptId, serverId: id, ...held });
+        const isSlow = slow.includes(id);
+        const finish = { attemptId, firstTokenMs: 100, meanGapMs: isSlow ? 300 : 30 };
+        scheduler.finish({ ...finish, result: isSlow ? result : 'completed' }, 0);
+      }
+    }
+  }
+
+  function countUsable(scheduler: Scheduler, nowMs: number): number {
+    return scheduler.summarize(nowMs).slots / 2;
+  }
+
+  // Guards against slow or failing servers that keep their share, and against ejecting too many.
+  test.each<[string, string[], FinishResult, number]>([
+    ['a slow one', ['s1'], 'completed', 7],
+    ['a failing one', ['s1'], 'failed', 7],
+    ['at most 30%', ['s1', 's2', 's3'], 'completed', 6],
+    ['none when callers cancel', ['s1'], 'cancelled', 8],
+    ['none when all are alike', [], 'completed', 8],
+    ['all that fell silent, whatever the share', ['s1', 's2', 's3'], 'server-silent', 5],
+  ])('ejects %s', (_, slow, result, expected) => {
+    const scheduler = createTestScheduler({ servers });
+    runRounds(scheduler, slow, result);
+    expect(countUsable(scheduler, 0)).toBe(expected);
+  });
+
+  // Guards against servers that never come back, that come back slow, or that get more than a probe.
+  test.each<[string, number, FinishResult, number]>([
+    ['restores a good one', 30, 'completed', 8],
+    ['keeps out a slow one', 300, 'completed', 7],
+    ['keeps out a failing one', 30, 'failed', 7],
+  ])('a probe %s', (_, meanGapMs, result, expected) => {
+    const scheduler = createTestScheduler({ servers });
+    runRounds(scheduler, ['s1'], 'completed');
+    const ids = ['r0', 'r1', 'r2'];
+    for (const id of ids) scheduler.enqueue(makeRequest(id, { arrivedAtMs: 2000 }), 2000);
+    const probes = scheduler
+      .takeDecisions(2000)
+      .filter((decision) => decision.kind === 'grant' && decision.serverId === 's1');
+    expect(probes).toMatchObject([{ reason: 'probe' }]);
+    const attemptId = probes[0]?.attemptId ?? '';
+    scheduler.finish({ attemptId, result, firstTokenMs: 100, meanGapMs }, 2500);
+    expect(countUsable(scheduler, 2500)).toBe(expected);
+  });
+});
+
+// Guards against a stale list of what waits or runs after messages that arrive late or twice.
+test('late and repeated messages change nothing', () => {
+  const scheduler = createTestScheduler();
+  scheduler.withdraw('early');
+  scheduler.enqueue(makeRequest('early'), 0);
+  scheduler.enqueue(makeRequest('r1'), 0);
+  scheduler.enqueue(makeRequest('r1'), 0);
+  expect(toText(scheduler.takeDecisions(0))).toEqual(['r1>s1']);
+  scheduler.withdraw('r1');
+  expect(scheduler.listGranted()).toEqual(['r1']);
+  finishAttempt(scheduler, 'r1', 1);
+  finishAttempt(scheduler, 'r1', 1);
+  scheduler.enqueue(makeRequest('r1'), 1);
+  const held = { className: 'quick', team: 't', fingerprint: 'x', grantedAtMs: 0 };
+  scheduler.adopt({ attemptId: 'r1', serverId: 's1', ...held });
+  expect(scheduler.listGranted()).toEqual([]);
+  scheduler.enqueue(makeRequest('r2'), 1);
+  scheduler.adopt({ attemptId: 'r2', serverId: 's1', ...held });
+  expect([scheduler.listWaiting(), scheduler.listGranted()]).toEqual([[], ['r2']]);
+  expect(scheduler.takeDecisions(2)).toEqual([]);
+});
+
+// Guards against requests lost or left in their old tier when a new bundle changes the classes.
+test('a new bundle moves waiting requests to the new tiers', () => {
+  const scheduler = createTestScheduler({ classes: TIERS });
+  scheduler.enqueue(makeRequest('running'), 0);
+  scheduler.takeDecisions(0);
+  scheduler.enqueue(makeRequest('m', { className: 'mid' }), 0);
+  scheduler.enqueue(makeRequest('b', { className: 'bulk' }), 0);
+  scheduler.enqueue(makeRequest('unknown', { className: 'not-yet-known' }), 0);
+  scheduler.updateClasses([makeClass('mid', { tier: 2 }), makeClass('bulk', { tier: 1 })]);
+  finishAttempt(scheduler, 'running', 1);
+  expect(toText(scheduler.takeDecisions(1))).toEqual(['b>s1']);
+  expect(scheduler.listWaiting()).toEqual(['m', 'unknown']);
+});
