Count slots by tier as grants come and go

Cause: each pass and each arrival copied every running grant to count slots by tier. Ruled out: the heaps of the queue, which a profile showed far below the copies. Change: servers keep their counts by tier; a heap that drops removed items is rebuilt in linear time.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -31,12 +31,11 @@
 function makeWaitInput(input: AdmissionInput): WaitEstimateInput {
   const healthy = input.table.listInState('healthy', input.nowMs);
   const slots = countSlots(healthy);
-  const inUse = healthy.flatMap(({ grants }) => [...grants]);
   return {
     classes: input.queue.classes,
     slots,
     freeSlots: countFreeSlots(healthy),
-    headroom: new Headroom(input.queue.listTiers(), slots, input.headroomRatio, inUse),
+    headroom: new Headroom(input.queue.listTiers(), healthy, input.headroomRatio),
     meanServiceMs: input.meanServiceMs,
   };
 }
--- a/packages/policy/src/headroom.ts
+++ b/packages/policy/src/headroom.ts
@@ -1,21 +1,26 @@
+import { countSlots, type ServerUse } from './server-table';
+
 /** Share of the shard's slots kept free of lower tiers for each tier above them. */
 const DEFAULT_HEADROOM_RATIO = 0.1;
 
 /** Slots in use on healthy servers during one pass, by tier, against the bounds that keep headroom. */
 export class Headroom {
+  private readonly slots: number;
   private readonly usedByTier = new Map<number, number>();
 
   constructor(
     private readonly tiers: readonly number[],
-    private readonly slots: number,
+    healthy: readonly ServerUse[],
     private readonly ratio: number = DEFAULT_HEADROOM_RATIO,
-    inUse: Iterable<{ tier: number }> = [],
   ) {
-    for (const { tier } of inUse) this.addUse(tier);
+    this.slots = countSlots(healthy);
+    for (const { usedByTier } of healthy) {
+      for (const [tier, count] of usedByTier) this.addUse(tier, count);
+    }
   }
 
-  addUse(tier: number): void {
-    this.usedByTier.set(tier, (this.usedByTier.get(tier) ?? 0) + 1);
+  addUse(tier: number, count = 1): void {
+    this.usedByTier.set(tier, (this.usedByTier.get(tier) ?? 0) + count);
   }
 
   /**
--- a/packages/policy/src/heap.ts
+++ b/packages/policy/src/heap.ts
@@ -47,25 +47,30 @@
   discardRemoved(liveCount: number): void {
     const slack = 64;
     if (this.items.length <= 2 * liveCount + slack) return;
-    const live = this.items.filter((item) => this.isLive(item));
-    this.items = [];
-    for (const item of live) this.add(item);
+    this.items = this.items.filter((item) => this.isLive(item));
+    for (let index = (this.items.length >> 1) - 1; index >= 0; index -= 1) {
+      this.putDown(this.items[index] as T, index);
+    }
   }
 
   private removeFirst(): void {
+    const last = this.items.pop() as T;
+    if (this.items.length > 0) this.putDown(last, 0);
+  }
+
+  /** Puts an item at a free place or below it, where the order holds. */
+  private putDown(item: T, from: number): void {
     const { items } = this;
-    const last = items.pop() as T;
     const length = items.length;
-    if (length === 0) return;
-    let index = 0;
+    let index = from;
     for (;;) {
       let child = 2 * index + 1;
       if (child >= length) break;
       if (child + 1 < length && this.isBefore(items[child + 1] as T, items[child] as T)) child += 1;
-      if (!this.isBefore(items[child] as T, last)) break;
+      if (!this.isBefore(items[child] as T, item)) break;
       items[index] = items[child] as T;
       index = child;
     }
-    items[index] = last;
+    items[index] = item;
   }
 }
--- a/packages/policy/src/server-table.ts
+++ b/packages/policy/src/server-table.ts
@@ -21,6 +21,7 @@
   isListed: boolean;
   isLeaving: boolean;
   grants: Set<HeldGrant>;
+  usedByTier: Map<number, number>;
   /** Number of the last grant on the server; spreads equal choices. */
   lastGrant: number;
 }
@@ -54,6 +55,7 @@
     this.grantCount += 1;
     use.lastGrant = this.grantCount;
     use.grants.add(grant);
+    addCount(use.usedByTier, grant.tier, 1);
     this.grants.set(grant.attemptId, grant);
     addCount(this.usedByClass, grant.className, 1);
     addCount(this.runningByFingerprint, grant.fingerprint, 1);
@@ -62,6 +64,7 @@
   removeGrant(grant: HeldGrant): void {
     const use = this.getUse(grant.serverId);
     use.grants.delete(grant);
+    addCount(use.usedByTier, grant.tier, -1);
     this.removeUnused(grant.serverId, use);
     this.grants.delete(grant.attemptId);
     addCount(this.usedByClass, grant.className, -1);
@@ -119,6 +122,7 @@
         isListed: false,
         isLeaving: false,
         grants: new Set(),
+        usedByTier: new Map(),
         lastGrant: 0,
       };
       this.uses.set(id, use);
@@ -144,7 +148,7 @@
   return uses.reduce((sum, use) => sum + use.slots, 0);
 }
 
-function addCount(counts: Map<string, number>, key: string, change: number): void {
+function addCount<K>(counts: Map<K, number>, key: K, change: number): void {
   const count = (counts.get(key) ?? 0) + change;
   if (count > 0) counts.set(key, count);
   else counts.delete(key);
--- a/packages/policy/src/start-choice.ts
+++ b/packages/policy/src/start-choice.ts
@@ -4,7 +4,7 @@
 import { Headroom } from './headroom';
 import type { RequestQueue } from './queue';
 import { isStartableOn, chooseServer } from './server-choice';
-import { countSlots, hasFreeSlot, type ServerTable, type ServerUse } from './server-table';
+import { hasFreeSlot, type ServerTable, type ServerUse } from './server-table';
 import type { GrantReason } from './types';
 
 /** What one pass over free slots works on. */
@@ -45,12 +45,7 @@
     const { queue, table, nowMs } = input;
     this.healthy = table.listInState('healthy', nowMs);
     this.probeable = table.listProbeable(nowMs);
-    this.headroom = new Headroom(
-      queue.listTiers(),
-      countSlots(this.healthy),
-      input.headroomRatio,
-      this.healthy.flatMap(({ grants }) => [...grants]),
-    );
+    this.headroom = new Headroom(queue.listTiers(), this.healthy, input.headroomRatio);
   }
 
   /** Chooses the next start; undefined when nothing can start. */
