--- a/packages/bench/src/policy/workload.ts
+++ b/packages/bench/src/policy/workload.ts
@@ -1,5 +1,5 @@
 import type { SchedulingClass, SchedulingTeam } from '@pollendrum/policy';
-import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import { unsafeUniformIntDistribution, mersenne } from 'pure-rand';
 
 /** Name of a user whose workload is simulated. */
 export type PresetName = 'karoo' | 'associacao';
@@ -158,6 +158,6 @@
 
 /** Returns a seeded generator of numbers from 0 up to 1. */
 export function createRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
+  const generator = mersenne(seed);
   return () => unsafeUniformIntDistribution(0, RANDOM_STEPS - 1, generator) / RANDOM_STEPS;
 }
