--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,8 +1,9 @@
 import { parseArgs } from 'node:util';
 import { runLoad } from './load/load';
 import type { LoadPacing } from './load/options';
+import { runPolicyCommand } from './policy/command';
 
-const COMMAND_NAMES = ['load'] as const;
+const COMMAND_NAMES = ['load', 'policy'] as const;
 type CommandName = (typeof COMMAND_NAMES)[number];
 
 /** Runs a command with the arguments after its name; resolves with the exit code. */
@@ -15,7 +16,7 @@
   override readonly name = 'UsageError';
 }
 
-const COMMANDS: Record<CommandName, Command> = { load: runLoadCommand };
+const COMMANDS: Record<CommandName, Command> = { load: runLoadCommand, policy: runPolicyCommand };
 
 const LOAD_OPTIONS = {
   url: { type: 'string' },
