Answer the status of a cancelled stream with 410

Cause: a probe of a cancelled stream got 200 with an offset that never moves, which an entry reads as a slow server, and it would wait for a stream that never goes on.

Ruled out: a further field in the status, because the protocol fixes {"offset", "done"}.

Change: GET on a cancelled stream, with or without /status, is answered with 410 stream_cancelled. Two further tests: a resume ends the connection it replaces without a cancel, and an order sent on a connection that is silent already does not run.

--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -237,6 +237,9 @@
   private handleStream(request: IncomingMessage, response: ServerResponse, path: string): void {
     const [id = '', ending] = path.split('/');
     const attempt = this.registry.getAttempt(decodeURIComponent(id));
+    if (request.method === 'GET' && attempt.state === 'cancelled') {
+      throw new HttpError(410, 'stream_cancelled', 'the stream was cancelled');
+    }
     if (request.method === 'GET' && ending === 'status') {
       const done = attempt.state === 'completed';
       sendJson(response, 200, { offset: attempt.generatedTokens, done });
@@ -251,9 +254,6 @@
   }
 
   private resumeStream(request: IncomingMessage, response: ServerResponse, attempt: Attempt): void {
-    if (attempt.state === 'cancelled') {
-      throw new HttpError(410, 'stream_cancelled', 'the stream was cancelled');
-    }
     const offset = parseLastEventId(readHeader(request, 'last-event-id'), attempt);
     const previous = this.registry.replaceResponse(attempt, response);
     // A silent connection must not be seen to close.
--- a/packages/stand-ins/src/http/host.ts
+++ b/packages/stand-ins/src/http/host.ts
@@ -35,6 +35,8 @@
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private readonly silenced = new WeakSet<Socket>();
+  /** Kept after a crash fault, which stops the listener. */
+  private bound: AddressInfo | undefined;
 
   constructor(handler: RequestHandler) {
     this.server = createServer((request, response) => {
@@ -98,8 +100,6 @@
     await closed;
   }
 
-  private bound: AddressInfo | undefined;
-
   private getBound(): AddressInfo {
     if (!this.bound) throw new Error('the stand-in is not listening');
     return this.bound;
--- a/packages/stand-ins/test/engine-streaming.test.ts
+++ b/packages/stand-ins/test/engine-streaming.test.ts
@@ -92,6 +92,16 @@
     expect([end.ids, end.isDone]).toEqual([[], true]);
   });
 
+  // Guards against two connections that share a stream, and a cancel by the one that was replaced.
+  test('is not needed for a resume, which ends the old connection', async () => {
+    const options = { attemptId: 'a1', maxTokens: 120 };
+    const old = readEvents(await sendChat(engine, options));
+    const resumed = await readEvents(await sendCall(engine, 'GET', '/v1/streams/a1'));
+    expect([resumed.text, resumed.isDone]).toEqual([generateText(options), true]);
+    expect((await old).isDone).toBe(false);
+    expect(engine.getCounts()).toMatchObject({ completed: 1, cancelled: 0 });
+  });
+
   // Guards against work that goes on for a caller that has gone.
   test('is cancelled when nobody resumes it', async () => {
     await readEvents(await sendChat(engine, { attemptId: 'a1', maxTokens: 2000 }), 3);
@@ -101,7 +111,9 @@
     const counts = engine.getCounts();
     expect(counts.cancelledTokens).toBeGreaterThanOrEqual(3);
     expect(counts.cancelledTokens).toBe(counts.generatedTokens);
-    expect((await sendCall(engine, 'GET', '/v1/streams/a1')).status).toBe(410);
+    for (const path of ['/v1/streams/a1', '/v1/streams/a1/status']) {
+      expect((await sendCall(engine, 'GET', path)).status).toBe(410);
+    }
   });
 });
 
--- a/packages/stand-ins/test/service.test.ts
+++ b/packages/stand-ins/test/service.test.ts
@@ -1,7 +1,9 @@
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, test } from 'vitest';
 import { computeStock, createService } from '../src/index';
 import type { OrderLog, ServiceStandIn } from '../src/index';
-import { sendCall } from './support';
+import { sendCall, waitUntil } from './support';
 
 let service: ServiceStandIn;
 beforeEach(async () => {
@@ -71,16 +73,33 @@
     () => (isAnswered = true),
     () => undefined,
   );
-  await new Promise((resolve) => setTimeout(resolve, 20));
+  await sleep(20);
   service.applyFaults({ silent: true, delayMs: 0 });
   const response = await sendCall(service, 'GET', '/stock/oats');
   expect(await response.json()).toEqual({ item: 'oats', quantity: computeStock('oats') });
-  await new Promise((resolve) => setTimeout(resolve, 200));
+  await sleep(200);
   expect(isAnswered).toBe(false);
   await service[Symbol.asyncDispose]();
   await silent;
 });
 
+// Guards against an order that runs although its connection was silent when it was sent.
+test('an order on a connection that is silent already does not run', async () => {
+  const socket = connect(service.port, service.address);
+  const body = JSON.stringify(ORDER);
+  const head = `POST /orders HTTP/1.1\r\nHost: s\r\nContent-Length: ${body.length.toString()}`;
+  let answers = 0;
+  let isClosed = false;
+  socket.on('data', () => (answers += 1)).on('close', () => (isClosed = true));
+  socket.write(`${head}\r\n\r\n${body}`);
+  await waitUntil(() => answers === 1);
+  service.applyFaults({ silent: true });
+  socket.write(`${head}\r\n\r\n${body}`);
+  await sleep(100);
+  expect([answers, isClosed, service.getOrderLog().orders.length]).toEqual([1, false, 1]);
+  socket.destroy();
+});
+
 // Guards against a load report without the signal that the service is leaving.
 test('the load report shows draining', async () => {
   service.applyFaults({ draining: true });
