Add the platform client, claims ledger, bundle store and control tasks

Cause: entries need durable at-most-once claims, operators need bundles with one winner, and each instance follows bundles, the instance list and outcome records. Ruled out: reporting a key as free after an unconfirmed write, because that write may land later; dropping a settled not-run claim at once, because its owner may still write it. Change: packages/platform has the HTTP client, ClaimRangeWriter, bundle signing, validation and BundleStore; router/src/control has the bundle, claims, outcome and instance list tasks.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from './client/errors';
+export * from './client/platform-client';
+export type * from './client/types';
+export * from './claims/claim-range-writer';
+export { MAX_RANGE_BYTES, MAX_STORED_BODY_BYTES } from './claims/claim-table';
+export type { ClaimAnswer, ClaimRequest, SettleRequest } from './claims/claim-table';
+export * from './claims/keys';
+export * from './bundles/bundle-store';
+export * from './bundles/envelope';
+export * from './bundles/validate-bundle';
--- /dev/null
+++ b/packages/platform/test/claim-races.test.ts
@@ -0,0 +1,83 @@
+import { setTimeout as waitFor } from 'node:timers/promises';
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { ClaimRangeWriter } from '../src/index';
+import type { PlatformClient } from '../src/index';
+import { FakePlatform } from './fake-platform';
+
+const SEED = 20_261_204;
+const RUNS = 150;
+const CLAIM_TIMEOUT_MS = 15;
+
+/** One entry that asks one owner, then the other under the same nonce, then gives up. */
+const entryArbitrary = fc.record({
+  keyHash: fc.constantFrom('k1', 'k2'),
+  startMs: fc.nat(20),
+  firstOwner: fc.nat(1),
+});
+const faultArbitrary = fc.constantFrom('none', 'lost', 'unconfirmed', 'late');
+/** Pauses of an owner in milliseconds, before and after its calls. */
+const pausesArbitrary = fc.array(fc.constantFrom(0, 0, 0, 2, 8, 20), { maxLength: 24 });
+
+// Guards against a key granted twice under lost confirmations, delayed writes, two owners and pauses.
+test('at most one nonce is told claimed for a key', async () => {
+  const property = fc.asyncProperty(
+    fc.array(entryArbitrary, { minLength: 2, maxLength: 6 }),
+    fc.array(faultArbitrary, { maxLength: 12 }),
+    fc.tuple(pausesArbitrary, pausesArbitrary),
+    async (entries, faults, pauses) => {
+      const platform = new FakePlatform();
+      platform.putFaults = faults;
+      const owners = pauses.map((list) => createOwner(platform, list));
+      const lateWrites = setInterval(() => {
+        platform.applyLateWrites();
+      }, 7);
+      const claimed = await Promise.all(
+        entries.map((entry, index) => runEntry(entry, `n${index}`, owners)),
+      );
+      clearInterval(lateWrites);
+      for (const owner of owners) await owner[Symbol.asyncDispose]();
+      for (const key of ['k1', 'k2']) {
+        const nonces = claimed.filter((told) => told.isClaimed && told.keyHash === key);
+        expect(nonces.length).toBeLessThanOrEqual(1);
+      }
+    },
+  );
+  await fc.assert(property, { seed: SEED, numRuns: RUNS, endOnFailure: true });
+});
+
+function createOwner(platform: FakePlatform, pauses: number[]): ClaimRangeWriter {
+  const runPaused = async <T>(runCall: () => Promise<T>): Promise<T> => {
+    await waitFor(pauses.shift() ?? 0);
+    const result = await runCall();
+    await waitFor(pauses.shift() ?? 0);
+    return result;
+  };
+  const client: Pick<PlatformClient, 'getObject' | 'putObject'> = {
+    getObject: (key) => runPaused(() => platform.getObject(key)),
+    putObject: (key, text, condition) => runPaused(() => platform.putObject(key, text, condition)),
+  };
+  return new ClaimRangeWriter({
+    client,
+    rangeIndex: 0,
+    retentionMs: 86_400_000,
+    claimTimeoutMs: CLAIM_TIMEOUT_MS,
+    retryDelayMs: 1,
+  });
+}
+
+async function runEntry(
+  entry: { keyHash: string; startMs: number; firstOwner: number },
+  nonce: string,
+  owners: readonly ClaimRangeWriter[],
+) {
+  const { keyHash, startMs, firstOwner } = entry;
+  await waitFor(startMs);
+  for (const index of [firstOwner, 1 - firstOwner]) {
+    const answer = await owners[index]?.claimKey({ keyHash, nonce, requestId: nonce });
+    if (answer?.result === 'claimed') return { keyHash, isClaimed: true };
+    if (answer?.result === 'duplicate') return { keyHash, isClaimed: false };
+  }
+  for (const owner of owners) owner.recordSettlement({ keyHash, nonce, state: 'not-run' });
+  return { keyHash, isClaimed: false };
+}
--- /dev/null
+++ b/packages/platform/test/claim-range-writer.test.ts
@@ -0,0 +1,145 @@
+import { afterEach, beforeEach, describe, expect, test } from 'vitest';
+import { ClaimRangeWriter, MAX_RANGE_BYTES } from '../src/index';
+import type { ClaimRequest } from '../src/index';
+import { FakePlatform, waitUntil } from './fake-platform';
+import type { PutFault } from './fake-platform';
+
+const RETENTION_MS = 86_400_000;
+
+describe('ClaimRangeWriter', () => {
+  let platform: FakePlatform;
+  let nowMs: number;
+  let writers: ClaimRangeWriter[];
+
+  beforeEach(() => {
+    platform = new FakePlatform();
+    nowMs = 1_000_000;
+    writers = [];
+  });
+
+  afterEach(async () => {
+    for (const writer of writers) await writer[Symbol.asyncDispose]();
+  });
+
+  function createWriter(): ClaimRangeWriter {
+    const writer = new ClaimRangeWriter({
+      client: platform,
+      rangeIndex: 3,
+      retentionMs: RETENTION_MS,
+      claimTimeoutMs: 60,
+      retryDelayMs: 2,
+      now: () => nowMs,
+    });
+    writers.push(writer);
+    return writer;
+  }
+
+  // Guards against one platform write for each claim, which the rate limit does not allow.
+  test('commits waiting claims in one update', async () => {
+    const writer = createWriter();
+    const claims = Array.from({ length: 50 }, (_, i) =>
+      writer.claimKey(createRequest(`k${i}`, 'n')),
+    );
+    const answers = await Promise.all(claims);
+    expect(new Set(answers.map(({ result }) => result))).toEqual(new Set(['claimed']));
+    expect(platform.objects.get('claims/3')?.version).toBe(1);
+  });
+
+  // Guards against a claim lost or granted twice when the confirmation of the update is lost.
+  test.each<{ faults: PutFault[] }>([
+    { faults: ['unconfirmed'] },
+    { faults: ['lost'] },
+    { faults: ['lost', 'unconfirmed'] },
+    { faults: ['late'] },
+  ])('settles a claim after the write faults $faults', async ({ faults }) => {
+    platform.putFaults = faults;
+    const writer = createWriter();
+    expect(await writer.claimKey(createRequest('k', 'n1'))).toEqual({ result: 'claimed' });
+    platform.applyLateWrites();
+    expect(await writer.claimKey(createRequest('k', 'n2'))).toMatchObject({ result: 'duplicate' });
+    expect(await createWriter().claimKey(createRequest('k', 'n1'))).toEqual({ result: 'claimed' });
+  });
+
+  // Guards against an owner that was paused and overwrites the claims of its successor.
+  test('is fenced by the version when another owner has written', async () => {
+    const paused = createWriter();
+    await paused.claimKey(createRequest('other', 'n0'));
+    expect(await createWriter().claimKey(createRequest('k', 'n1'))).toEqual({ result: 'claimed' });
+    const late = await paused.claimKey(createRequest('k', 'n2'));
+    expect(late).toMatchObject({ result: 'duplicate', firstRequestId: 'request-n1' });
+  });
+
+  // Guards against a repeat that runs again, or that cannot run after the first did not.
+  test.each([
+    {
+      state: 'done' as const,
+      expected: { result: 'duplicate', state: 'done', status: 201, body: 'b' },
+    },
+    { state: 'unknown' as const, expected: { result: 'duplicate', state: 'unknown' } },
+    { state: 'not-run' as const, expected: { result: 'claimed' } },
+    { state: undefined, expected: { result: 'duplicate', state: 'in-progress' } },
+  ])('answers another nonce after settlement $state', async ({ state, expected }) => {
+    const writer = createWriter();
+    await writer.claimKey(createRequest('k', 'n1'));
+    if (state !== undefined) {
+      writer.recordSettlement({ keyHash: 'k', nonce: 'wrong', state: 'not-run' });
+      writer.recordSettlement({ keyHash: 'k', nonce: 'n1', state, status: 201, body: 'b' });
+      await writer.flush();
+    }
+    expect(await createWriter().claimKey(createRequest('k', 'n2'))).toMatchObject(expected);
+  });
+
+  // Guards against a key that stays taken because a write that was given up lands afterwards.
+  test('refuses a nonce that was given up, in whatever order its write lands', async () => {
+    platform.putFaults = ['late'];
+    const owner = createWriter();
+    const first = owner.claimKey(createRequest('k', 'n1'));
+    await waitUntil(() => platform.putFaults.length === 0);
+    platform.isDown = true;
+    expect(await first).toMatchObject({ result: 'unavailable' });
+    platform.isDown = false;
+    const successor = createWriter();
+    successor.recordSettlement({ keyHash: 'k', nonce: 'n1', state: 'not-run' });
+    await successor.flush();
+    platform.applyLateWrites();
+    expect(await owner.claimKey(createRequest('k', 'n1'))).toMatchObject({ result: 'unavailable' });
+    expect(await owner.claimKey(createRequest('k', 'n2'))).toEqual({ result: 'claimed' });
+  });
+
+  test.each([
+    { ageMs: RETENTION_MS, result: 'duplicate' },
+    { ageMs: RETENTION_MS + 300_001, result: 'claimed' },
+  ])('answers $result at age $ageMs', async ({ ageMs, result }) => {
+    const writer = createWriter();
+    await writer.claimKey(createRequest('k', 'n1'));
+    nowMs += ageMs;
+    expect(await writer.claimKey(createRequest('k', 'n2'))).toMatchObject({ result });
+  });
+
+  // Guards against live claims that are dropped to make room, and against objects over 1 MB.
+  test('refuses claims over the size limit and keeps the live ones', async () => {
+    const writer = createWriter();
+    const requestId = 'r'.repeat(1_000);
+    const keys = Array.from({ length: 1_000 }, (_, index) => `k${index}`);
+    const claims = keys.map((keyHash) => writer.claimKey({ keyHash, nonce: 'n', requestId }));
+    const results = (await Promise.all(claims)).map(({ result }) => result);
+    const claimed = results.filter((result) => result === 'claimed').length;
+    expect(results.filter((result) => result === 'unavailable')).toHaveLength(1_000 - claimed);
+    expect(claimed).toBeGreaterThan(700);
+    writer.recordSettlement({ keyHash: 'k0', nonce: 'n', state: 'done', body: 'b'.repeat(1_000) });
+    await writer.flush();
+    const text = platform.objects.get('claims/3')?.text ?? '';
+    expect(text.length).toBeLessThanOrEqual(MAX_RANGE_BYTES);
+    expect(await writer.claimKey(createRequest('k0', 'n2'))).toMatchObject({ state: 'done' });
+  });
+
+  test('answers unavailable while the platform is down', async () => {
+    platform.isDown = true;
+    const answer = await createWriter().claimKey(createRequest('k', 'n'));
+    expect(answer).toEqual({ result: 'unavailable', reason: 'platform' });
+  });
+});
+
+function createRequest(keyHash: string, nonce: string): ClaimRequest {
+  return { keyHash, nonce, requestId: `request-${nonce}` };
+}
--- /dev/null
+++ b/packages/router/src/control/bundle-task.ts
@@ -0,0 +1,310 @@
+import { setTimeout as waitFor } from 'node:timers/promises';
+import {
+  formatFinding,
+  isValidBundle,
+  isValidBundleEnvelope,
+  parseJson,
+} from '@pollendrum/protocol';
+import type {
+  Bundle,
+  BundleEnvelope,
+  BundleHead,
+  PeerMessage,
+  TrustedOperator,
+} from '@pollendrum/protocol';
+import {
+  BUNDLE_HEAD_KEY,
+  BundleStore,
+  hashContent,
+  parseHead,
+  verifyEnvelope,
+} from '@pollendrum/platform';
+import type { PlatformClient } from '@pollendrum/platform';
+import type {
+  ActiveBundle,
+  BundlePort,
+  MembershipPort,
+  PeerPort,
+  TelemetryPort,
+  Unsubscribe,
+} from '../ports';
+import { ChangeWatcher } from './change-watcher';
+import { PeerQueries, listPeerIds } from './peer-queries';
+
+/** Options of createBundleTask. */
+export interface BundleTaskOptions {
+  client: Pick<PlatformClient, 'getObject' | 'putObject' | 'watchObject'>;
+  membership: MembershipPort;
+  peer: PeerPort;
+  telemetry: TelemetryPort;
+  /** Operators whose signatures count. */
+  trustedOperators: readonly TrustedOperator[];
+  /** Signatures that a bundle needs, at least 1. */
+  requiredSignatures: number;
+  /**
+   * Interval of plain reads of the head in milliseconds.
+   * @default 4_500
+   */
+  pollIntervalMs?: number;
+  /**
+   * Wait before peers are asked again while there is no bundle, in milliseconds.
+   * @default 1_000
+   */
+  retryDelayMs?: number;
+  /**
+   * Unix time in milliseconds.
+   * @default Date.now
+   */
+  now?: () => number;
+}
+
+export interface BundleTask extends BundlePort, AsyncDisposable {}
+
+/** A bundle whose signatures, digest and schema were checked. */
+interface VerifiedBundle {
+  envelope: BundleEnvelope;
+  bundle: Bundle;
+  digest: string;
+}
+
+const PEER_TIMEOUT_MS = 2_000;
+const RETRY_DELAY_MS = 1_000;
+
+/** Creates and starts the task that keeps the newest accepted bundle in force. */
+export function createBundleTask(options: BundleTaskOptions): BundleTask {
+  const task = new BundleFollower(options);
+  task.start();
+  return {
+    getActive: () => task.getActive(),
+    watchActive: (listener) => task.watchActive(listener),
+    [Symbol.asyncDispose]: () => task[Symbol.asyncDispose](),
+  };
+}
+
+class BundleFollower implements BundleTask {
+  readonly #store: BundleStore;
+  readonly #queries: PeerQueries<string>;
+  readonly #listeners = new Set<(active: ActiveBundle) => void>();
+  readonly #unsubscribes: Unsubscribe[] = [];
+  readonly #watcher: ChangeWatcher<BundleHead>;
+  readonly #stop = new AbortController();
+  readonly #now: () => number;
+  #active: ActiveBundle | undefined;
+  #envelopeText = '';
+  #firstBundle: Promise<void> | undefined;
+  #isPlatformDown = false;
+
+  constructor(private readonly options: BundleTaskOptions) {
+    this.#now = options.now ?? Date.now;
+    this.#store = new BundleStore(options);
+    this.#queries = new PeerQueries(options.peer);
+    this.#watcher = new ChangeWatcher({
+      readValue: () => this.#readHead(),
+      watchValue: (afterVersion, signal) => this.#watchHead(afterVersion, signal),
+      handleValue: (head) => this.#applyHead(head),
+      handleConfirmed: (head) => this.#checkHead(head),
+      handleError: (error) => {
+        this.#handlePlatformError(error);
+      },
+      pollIntervalMs: options.pollIntervalMs,
+    });
+  }
+
+  start(): void {
+    const { peer, membership } = this.options;
+    this.#unsubscribes.push(
+      peer.watchMessages((instanceId, message) => {
+        this.#handleMessage(instanceId, message);
+      }),
+      membership.watchBundleNumber((bundleNumber, instanceId) => {
+        void this.#handleGossip(bundleNumber, instanceId);
+      }),
+    );
+    this.#watcher.start();
+    this.#firstBundle = this.#waitForFirstBundle();
+  }
+
+  getActive(): ActiveBundle | undefined {
+    return this.#active;
+  }
+
+  watchActive(listener: (active: ActiveBundle) => void): Unsubscribe {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stop.abort();
+    for (const unsubscribe of this.#unsubscribes) unsubscribe();
+    this.#queries[Symbol.dispose]();
+    await Promise.all([this.#watcher[Symbol.asyncDispose](), this.#firstBundle]);
+  }
+
+  async #readHead() {
+    const stored = await this.#store.readHead();
+    return stored === undefined ? undefined : { version: stored.version, value: stored.head };
+  }
+
+  async #watchHead(afterVersion: number, signal: AbortSignal) {
+    const watch = { afterVersion, signal };
+    const object = await this.options.client.watchObject(BUNDLE_HEAD_KEY, watch);
+    if (object === undefined) return undefined;
+    const { head, version } = parseHead(object);
+    return { version, value: head };
+  }
+
+  async #applyHead(head: BundleHead): Promise<void> {
+    if (head.number <= (this.#active?.bundle.number ?? 0)) return;
+    const verified =
+      (await this.#fetchFromPlatform(head)) ?? (await this.#fetchNamedFromPeers(head));
+    if (verified === undefined) {
+      this.options.telemetry.log.error('the accepted bundle could not be fetched', {
+        bundleNumber: head.number,
+      });
+      return;
+    }
+    this.#adoptBundle(verified, true);
+  }
+
+  // A body that could not be fetched when the head changed is fetched here with the next read.
+  async #checkHead(head: BundleHead | undefined): Promise<void> {
+    this.#isPlatformDown = false;
+    if (head === undefined) return;
+    await this.#applyHead(head);
+    const active = this.#active;
+    if (active === undefined) return;
+    const isNewest = active.bundle.number === head.number && active.digest === head.digest;
+    if (isNewest) {
+      this.#active = { ...active, confirmedByPlatform: true, asOfMs: this.#now() };
+      return;
+    }
+    if (head.number > active.bundle.number) {
+      this.#active = { ...active, confirmedByPlatform: false };
+    }
+  }
+
+  #handlePlatformError(error: unknown): void {
+    this.#isPlatformDown = true;
+    this.options.telemetry.log.warn('the bundle head could not be read', { error: String(error) });
+    // Gossip names higher numbers, so the bundle is as new as the reachable peers know.
+    const { peer, membership } = this.options;
+    const isPeerReached = listPeerIds(membership, peer.instanceId).length > 0;
+    if (this.#active === undefined || !isPeerReached) return;
+    this.#active = { ...this.#active, asOfMs: this.#now() };
+  }
+
+  async #handleGossip(bundleNumber: number, instanceId: string): Promise<void> {
+    if (bundleNumber <= (this.#active?.bundle.number ?? 0)) return;
+    await this.#watcher.refresh();
+    if (bundleNumber <= (this.#active?.bundle.number ?? 0)) return;
+    await this.#adoptHighest([instanceId]);
+  }
+
+  // A fresh instance serves with the highest bundle of its peers while the platform is down.
+  async #waitForFirstBundle(): Promise<void> {
+    const { peer, membership } = this.options;
+    const retryDelayMs = this.options.retryDelayMs ?? RETRY_DELAY_MS;
+    while (this.#active === undefined && !this.#stop.signal.aborted) {
+      if (this.#isPlatformDown) await this.#adoptHighest(listPeerIds(membership, peer.instanceId));
+      if (this.#active !== undefined) return;
+      const wait = waitFor(retryDelayMs, undefined, { signal: this.#stop.signal });
+      await wait.catch(() => undefined);
+    }
+  }
+
+  async #adoptHighest(instanceIds: readonly string[]): Promise<void> {
+    const bundles = await this.#fetchFromPeers(instanceIds);
+    for (const verified of bundles) this.#adoptBundle(verified, false);
+  }
+
+  async #fetchFromPlatform(head: BundleHead): Promise<VerifiedBundle | undefined> {
+    try {
+      const envelope = await this.#store.readBundle(head.number, head.digest);
+      return envelope === undefined ? undefined : this.#verifyBundle(envelope, 'platform');
+    } catch (error) {
+      this.options.telemetry.log.warn('the bundle could not be read from the platform', {
+        error: String(error),
+      });
+      return undefined;
+    }
+  }
+
+  async #fetchNamedFromPeers(head: BundleHead): Promise<VerifiedBundle | undefined> {
+    const { peer, membership } = this.options;
+    const bundles = await this.#fetchFromPeers(listPeerIds(membership, peer.instanceId));
+    return bundles.find(
+      ({ bundle, digest }) => bundle.number === head.number && digest === head.digest,
+    );
+  }
+
+  async #fetchFromPeers(instanceIds: readonly string[]): Promise<VerifiedBundle[]> {
+    const { answers } = await this.#queries.requestAll(instanceIds, PEER_TIMEOUT_MS, (queryId) => ({
+      kind: 'fetch-bundle',
+      queryId,
+    }));
+    const verified: VerifiedBundle[] = [];
+    for (const text of answers) {
+      if (text === '') continue;
+      const envelope = parseJson(text, isValidBundleEnvelope);
+      const bundle = envelope.ok ? this.#verifyBundle(envelope.value, 'peer') : undefined;
+      if (bundle !== undefined) verified.push(bundle);
+    }
+    return verified;
+  }
+
+  #verifyBundle(envelope: BundleEnvelope, source: string): VerifiedBundle | undefined {
+    const { trustedOperators, requiredSignatures, telemetry } = this.options;
+    const result = verifyEnvelope(envelope, trustedOperators, requiredSignatures);
+    if (result.kind === 'unverified') {
+      telemetry.log.error('a bundle without enough valid signatures was refused', { source });
+      return undefined;
+    }
+    const parsed = parseJson(envelope.content, isValidBundle);
+    if (!parsed.ok) {
+      const findings = parsed.findings.map(formatFinding);
+      telemetry.log.error('a bundle that does not match the schema was refused', {
+        source,
+        findings,
+      });
+      return undefined;
+    }
+    return { envelope, bundle: parsed.value, digest: hashContent(envelope.content) };
+  }
+
+  #adoptBundle(verified: VerifiedBundle, confirmedByPlatform: boolean): void {
+    const { envelope, bundle, digest } = verified;
+    if (this.#stop.signal.aborted) return;
+    if (bundle.number <= (this.#active?.bundle.number ?? 0)) return;
+    const active: ActiveBundle = {
+      bundle,
+      digest,
+      classesByName: new Map(
+        bundle.classes.map((serviceClass) => [serviceClass.name, serviceClass]),
+      ),
+      teamsByName: new Map(bundle.teams.map((team) => [team.name, team])),
+      teamsByKeySha256: new Map(
+        bundle.teams.flatMap((team) => team.keySha256.map((hash) => [hash, team] as const)),
+      ),
+      confirmedByPlatform,
+      asOfMs: this.#now(),
+    };
+    this.#active = active;
+    this.#envelopeText = JSON.stringify(envelope);
+    this.options.membership.setBundleNumber(bundle.number);
+    this.options.telemetry.log.info('a bundle is in force', { bundleNumber: bundle.number });
+    for (const listener of this.#listeners) listener(active);
+  }
+
+  #handleMessage(instanceId: string, message: PeerMessage): void {
+    if (message.kind === 'fetch-bundle') {
+      const { queryId } = message;
+      const envelope = this.#envelopeText;
+      this.options.peer.sendMessage(instanceId, { kind: 'bundle-reply', queryId, envelope });
+    }
+    if (message.kind === 'bundle-reply') {
+      this.#queries.handleReply(instanceId, message.queryId, message.envelope);
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/control/claims-task.ts
@@ -0,0 +1,223 @@
+import { setTimeout as waitFor } from 'node:timers/promises';
+import { LRUCache } from 'lru-cache';
+import { computeRangeIndex } from '@pollendrum/platform';
+import type { PlatformClient } from '@pollendrum/platform';
+import type { ClaimResult, PeerMessage } from '@pollendrum/protocol';
+import type {
+  ClaimReply,
+  ClaimSettlement,
+  ClaimsPort,
+  MembershipPort,
+  PeerPort,
+  TelemetryPort,
+  Unsubscribe,
+} from '../ports';
+import { listCandidates, toRangeKey } from './claim-candidates';
+import type { ChooseOwner } from './claim-candidates';
+import { ClaimOwner } from './claim-owner';
+
+/** Options of createClaimsTask. */
+export interface ClaimsTaskOptions {
+  client: Pick<PlatformClient, 'getObject' | 'putObject'>;
+  membership: MembershipPort;
+  peer: PeerPort;
+  telemetry: TelemetryPort;
+  chooseOwner: ChooseOwner;
+  /** How long claims are kept, in milliseconds. */
+  retentionMs: number;
+  /**
+   * A claim without an answer is given up after this time, in milliseconds.
+   * @default 4_900
+   */
+  claimTimeoutMs?: number;
+  /**
+   * Unix time in milliseconds.
+   * @default Date.now
+   */
+  now?: () => number;
+}
+
+export interface ClaimsTask extends ClaimsPort, AsyncDisposable {}
+
+/** What became of one question to one owner. */
+type Exchange = { kind: 'answered'; result: ClaimResult } | { kind: 'lost' } | { kind: 'timeout' };
+
+interface OpenExchange {
+  owner: string;
+  resolve: (exchange: Exchange) => void;
+}
+
+interface SentSettlement {
+  settlement: ClaimSettlement;
+  owner: string;
+}
+
+const CLAIM_TIMEOUT_MS = 4_900;
+/** Wait before the next owner is asked, in milliseconds; membership views converge meanwhile. */
+const NEXT_OWNER_DELAY_MS = 50;
+/** Settlements are sent again when the link to their owner is lost within this time. */
+const RESEND_WINDOW_MS = 10_000;
+const MAX_SENT_SETTLEMENTS = 5_000;
+
+/** Creates and starts the task that claims idempotency keys through the owners of their ranges. */
+export function createClaimsTask(options: ClaimsTaskOptions): ClaimsTask {
+  return new ClaimsRouter(options);
+}
+
+class ClaimsRouter implements ClaimsTask {
+  readonly #owner: ClaimOwner;
+  readonly #open = new Map<string, OpenExchange>();
+  readonly #sent = new LRUCache<string, SentSettlement>({
+    max: MAX_SENT_SETTLEMENTS,
+    ttl: RESEND_WINDOW_MS,
+  });
+  readonly #unsubscribes: Unsubscribe[];
+  #lastClaim = 0;
+  #isStopped = false;
+
+  constructor(private readonly options: ClaimsTaskOptions) {
+    const { peer, now = Date.now } = options;
+    this.#owner = new ClaimOwner({ ...options, now, instanceId: peer.instanceId });
+    this.#unsubscribes = [
+      peer.watchMessages((instanceId, message) => {
+        this.#handleMessage(instanceId, message);
+      }),
+      peer.watchLost((instanceId) => {
+        this.#handleLost(instanceId);
+      }),
+    ];
+  }
+
+  async claimKey(keyHash: string, nonce: string, requestId: string): Promise<ClaimReply> {
+    const startedAt = performance.now();
+    const result = await this.#requestOwners(keyHash, nonce, requestId, startedAt);
+    if (result === undefined || result.result === 'unavailable') {
+      // The claim may still be written; the mark frees the key again.
+      this.recordSettlement({ keyHash, nonce, state: 'not-run' });
+    }
+    const elapsedMs = performance.now() - startedAt;
+    if (result === undefined) return { result: 'unavailable', elapsedMs };
+    const { state, firstRequestId, status, contentType, body } = result;
+    return {
+      result: result.result,
+      ...(state === undefined ? {} : { state }),
+      ...(firstRequestId === undefined ? {} : { firstRequestId }),
+      ...(status === undefined ? {} : { status }),
+      ...(contentType === undefined ? {} : { contentType }),
+      ...(body === undefined ? {} : { body }),
+      elapsedMs,
+    };
+  }
+
+  recordSettlement(settlement: ClaimSettlement): void {
+    this.#sendSettlement(settlement, new Set());
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#isStopped = true;
+    for (const unsubscribe of this.#unsubscribes) unsubscribe();
+    for (const { resolve } of this.#open.values()) resolve({ kind: 'timeout' });
+    await this.#owner[Symbol.asyncDispose]();
+  }
+
+  /** Asks one owner after the other under the same nonce; undefined when the time is up. */
+  async #requestOwners(
+    keyHash: string,
+    nonce: string,
+    requestId: string,
+    startedAt: number,
+  ): Promise<ClaimResult | undefined> {
+    const timeoutMs = this.options.claimTimeoutMs ?? CLAIM_TIMEOUT_MS;
+    const excluded = new Set<string>();
+    while (!this.#isStopped) {
+      const remainingMs = timeoutMs - (performance.now() - startedAt);
+      if (remainingMs <= 0) return undefined;
+      const owner = this.#chooseOwner(computeRangeIndex(keyHash), excluded);
+      const exchange = await this.#requestOwner(owner, { keyHash, nonce, requestId }, remainingMs);
+      if (exchange.kind === 'timeout') return undefined;
+      if (exchange.kind === 'answered' && exchange.result.result !== 'not-owner') {
+        return exchange.result;
+      }
+      excluded.add(owner);
+      await waitFor(NEXT_OWNER_DELAY_MS);
+    }
+    return undefined;
+  }
+
+  #chooseOwner(rangeIndex: number, excluded: Set<string>): string {
+    const { membership, peer, chooseOwner } = this.options;
+    const candidates = listCandidates(membership, peer.instanceId);
+    if (candidates.every((candidate) => excluded.has(candidate))) excluded.clear();
+    const left = candidates.filter((candidate) => !excluded.has(candidate));
+    return chooseOwner(toRangeKey(rangeIndex), left) ?? peer.instanceId;
+  }
+
+  async #requestOwner(
+    owner: string,
+    request: { keyHash: string; nonce: string; requestId: string },
+    timeoutMs: number,
+  ): Promise<Exchange> {
+    const { peer } = this.options;
+    this.#lastClaim += 1;
+    const claimId = `${peer.instanceId}:${this.#lastClaim}`;
+    const rangeIndex = computeRangeIndex(request.keyHash);
+    const releasePings = peer.requestPings(owner);
+    let timer: NodeJS.Timeout | undefined;
+    try {
+      return await new Promise<Exchange>((resolve) => {
+        this.#open.set(claimId, { owner, resolve });
+        timer = setTimeout(() => {
+          resolve({ kind: 'timeout' });
+        }, timeoutMs);
+        const isSent = peer.sendMessage(owner, { kind: 'claim', claimId, rangeIndex, ...request });
+        if (!isSent) resolve({ kind: 'lost' });
+      });
+    } finally {
+      clearTimeout(timer);
+      this.#open.delete(claimId);
+      releasePings();
+    }
+  }
+
+  #sendSettlement(settlement: ClaimSettlement, excluded: Set<string>): void {
+    const { peer } = this.options;
+    const { keyHash, nonce } = settlement;
+    const rangeIndex = computeRangeIndex(keyHash);
+    const message: PeerMessage = { kind: 'settle-claim', rangeIndex, ...settlement };
+    const attempts = listCandidates(this.options.membership, peer.instanceId).length;
+    for (let attempt = 0; attempt < attempts; attempt += 1) {
+      const owner = this.#chooseOwner(rangeIndex, excluded);
+      if (peer.sendMessage(owner, message)) {
+        this.#sent.set(`${keyHash}:${nonce}`, { settlement, owner });
+        return;
+      }
+      excluded.add(owner);
+    }
+    this.#owner.handleSettlement({ kind: 'settle-claim', rangeIndex, ...settlement });
+  }
+
+  #handleLost(instanceId: string): void {
+    for (const { owner, resolve } of this.#open.values()) {
+      if (owner === instanceId) resolve({ kind: 'lost' });
+    }
+    const lost = [...this.#sent.values()].filter(({ owner }) => owner === instanceId);
+    for (const { settlement } of lost) this.#sendSettlement(settlement, new Set([instanceId]));
+  }
+
+  #handleMessage(instanceId: string, message: PeerMessage): void {
+    if (message.kind === 'claim') void this.#sendClaimResult(instanceId, message);
+    if (message.kind === 'settle-claim') this.#owner.handleSettlement(message);
+    if (message.kind === 'claim-result') {
+      const exchange = this.#open.get(message.claimId);
+      if (exchange?.owner === instanceId) exchange.resolve({ kind: 'answered', result: message });
+    }
+  }
+
+  async #sendClaimResult(
+    instanceId: string,
+    claim: PeerMessage & { kind: 'claim' },
+  ): Promise<void> {
+    const result = await this.#owner.handleClaim(claim);
+    this.options.peer.sendMessage(instanceId, result);
+  }
+}
--- /dev/null
+++ b/packages/router/src/control/instance-list-task.ts
@@ -0,0 +1,92 @@
+import { setTimeout as waitFor } from 'node:timers/promises';
+import type { InstanceList } from '@pollendrum/protocol';
+import type { PlatformClient } from '@pollendrum/platform';
+import type { TelemetryPort } from '../ports';
+import { ChangeWatcher } from './change-watcher';
+
+/** Options of createInstanceListTask. */
+export interface InstanceListTaskOptions {
+  client: Pick<PlatformClient, 'getInstances' | 'watchInstances'>;
+  telemetry: TelemetryPort;
+  /** Called with each list of a higher version. */
+  listener: (list: InstanceList) => void;
+  /** Called after each read of the platform's list that succeeded. */
+  confirmListener?: (list: InstanceList) => void;
+  /**
+   * Interval of plain reads in milliseconds.
+   * @default 4_500
+   */
+  pollIntervalMs?: number;
+}
+
+/** Follows the platform's list of instances and backend servers. */
+export interface InstanceListTask extends AsyncDisposable {
+  /** Undefined until the first read succeeded. */
+  getList(): InstanceList | undefined;
+  /** Reads the list now; calls within 200 ms share one read. Never throws. */
+  refresh(): Promise<void>;
+}
+
+/** Shortest time between two reads asked for by refresh, in milliseconds. */
+export const REFRESH_INTERVAL_MS = 200;
+
+/** Creates and starts the task. */
+export function createInstanceListTask(options: InstanceListTaskOptions): InstanceListTask {
+  const { client, telemetry, listener, confirmListener } = options;
+  let list: InstanceList | undefined;
+  const watcher = new ChangeWatcher<InstanceList>({
+    readValue: async () => toVersioned(await client.getInstances()),
+    watchValue: async (afterVersion, signal) => {
+      const changed = await client.watchInstances({ afterVersion: afterVersion - 1, signal });
+      return changed === undefined ? undefined : toVersioned(changed);
+    },
+    handleValue: (value) => {
+      list = value;
+      listener(value);
+    },
+    handleConfirmed: (value) => {
+      if (value !== undefined) confirmListener?.(value);
+    },
+    handleError: (error) => {
+      telemetry.log.warn('the instance list could not be read', { error: String(error) });
+    },
+    pollIntervalMs: options.pollIntervalMs,
+  });
+  const refresher = new Refresher(async () => {
+    await watcher.refresh();
+  });
+  watcher.start();
+  return {
+    getList: () => list,
+    refresh: () => refresher.refresh(),
+    [Symbol.asyncDispose]: () => watcher[Symbol.asyncDispose](),
+  };
+}
+
+function toVersioned(list: InstanceList) {
+  // Versions start at 0 in an empty list; the watcher takes only versions above 0.
+  return { version: list.version + 1, value: list };
+}
+
+/** Shares reads so that at most one starts per interval. */
+class Refresher {
+  #waiting: Promise<void> | undefined;
+  #lastStart = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly runRead: () => Promise<void>) {}
+
+  /** The read that answers the call starts after the call. */
+  refresh(): Promise<void> {
+    this.#waiting ??= this.#runNext();
+    return this.#waiting;
+  }
+
+  async #runNext(): Promise<void> {
+    const delayMs = this.#lastStart + REFRESH_INTERVAL_MS - performance.now();
+    if (delayMs > 0) await waitFor(Math.ceil(delayMs));
+    else await Promise.resolve();
+    this.#waiting = undefined;
+    this.#lastStart = performance.now();
+    await this.runRead();
+  }
+}
--- /dev/null
+++ b/packages/router/src/control/outcome-task.ts
@@ -0,0 +1,181 @@
+import { isValidOutcomeRecord } from '@pollendrum/protocol';
+import type { OutcomeRecord, PeerMessage } from '@pollendrum/protocol';
+import type { PlatformClient } from '@pollendrum/platform';
+import type { MembershipPort, OutcomePort, PeerPort, TelemetryPort } from '../ports';
+import { OUTCOME_RETENTION_MS, OutcomeStore } from './outcome-store';
+import { MAX_WAITING_BYTES, OUTCOME_PREFIX, OutcomeWriter, toMinute } from './outcome-writer';
+import { PeerQueries, listPeerIds } from './peer-queries';
+
+/** Options of createOutcomeTask. */
+export interface OutcomeTaskOptions {
+  client: Pick<PlatformClient, 'getObject' | 'putObject' | 'listObjects'>;
+  membership: MembershipPort;
+  peer: PeerPort;
+  telemetry: TelemetryPort;
+  /**
+   * Interval of writes in milliseconds.
+   * @default 5_000
+   */
+  writeIntervalMs?: number;
+  /**
+   * Bound of the records that wait for the platform, in bytes of JSON; the oldest are dropped.
+   * @default 8_000_000
+   */
+  maxWaitingBytes?: number;
+  /**
+   * Bound of the records in memory, in bytes of JSON.
+   * @default 16_000_000
+   */
+  maxStoreBytes?: number;
+  /**
+   * Unix time in milliseconds.
+   * @default Date.now
+   */
+  now?: () => number;
+}
+
+export interface OutcomeTask extends OutcomePort, AsyncDisposable {}
+
+const WRITE_INTERVAL_MS = 5_000;
+const PEER_TIMEOUT_MS = 2_000;
+/** Time for the lookup in the platform in milliseconds; the newest minutes are read first. */
+const PLATFORM_LOOKUP_MS = 5_000;
+const MAX_PARALLEL_READS = 16;
+const MINUTE_MS = 60_000;
+
+/** Creates and starts the task that keeps, writes and finds outcome records. */
+export function createOutcomeTask(options: OutcomeTaskOptions): OutcomeTask {
+  return new OutcomeKeeper(options);
+}
+
+class OutcomeKeeper implements OutcomeTask {
+  readonly #store: OutcomeStore;
+  readonly #writer: OutcomeWriter;
+  readonly #queries: PeerQueries<OutcomeRecord[]>;
+  readonly #timer: NodeJS.Timeout;
+  readonly #unsubscribe: () => void;
+  readonly #now: () => number;
+
+  constructor(private readonly options: OutcomeTaskOptions) {
+    const { client, peer, telemetry, maxWaitingBytes = MAX_WAITING_BYTES } = options;
+    this.#now = options.now ?? Date.now;
+    this.#store = new OutcomeStore(options.maxStoreBytes);
+    this.#writer = new OutcomeWriter({
+      client,
+      telemetry,
+      maxWaitingBytes,
+      instanceId: peer.instanceId,
+      now: this.#now,
+    });
+    this.#queries = new PeerQueries(peer);
+    this.#timer = setInterval(() => {
+      void this.#writer.flush();
+    }, options.writeIntervalMs ?? WRITE_INTERVAL_MS);
+    this.#unsubscribe = peer.watchMessages((instanceId, message) => {
+      this.#handleMessage(instanceId, message);
+    });
+  }
+
+  recordOutcome(record: OutcomeRecord): void {
+    this.#store.addRecord(record);
+    if (!record.onTime || record.outcome !== 'answered') this.#writer.addRecord(record);
+  }
+
+  async findOutcomes(requestId: string): Promise<OutcomeRecord[]> {
+    const { membership, peer } = this.options;
+    const peerIds = listPeerIds(membership, peer.instanceId);
+    const [{ answers }, stored] = await Promise.all([
+      this.#queries.requestAll(peerIds, PEER_TIMEOUT_MS, (queryId) => ({
+        kind: 'find-outcome',
+        queryId,
+        requestId,
+      })),
+      this.#findStored(requestId),
+    ]);
+    return removeRepeats([...this.#store.findRecords(requestId), ...answers.flat(), ...stored]);
+  }
+
+  listRecent(sinceMs: number): OutcomeRecord[] {
+    return this.#store.listRecords(sinceMs);
+  }
+
+  flush(): Promise<void> {
+    return this.#writer.flush();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.#timer);
+    this.#unsubscribe();
+    this.#queries[Symbol.dispose]();
+    await this.#writer.flush();
+  }
+
+  // The objects of the last hour cover instances that have ended since.
+  async #findStored(requestId: string): Promise<OutcomeRecord[]> {
+    const deadline = performance.now() + PLATFORM_LOOKUP_MS;
+    const nowMs = this.#now();
+    const found: OutcomeRecord[] = [];
+    for (let ageMs = 0; ageMs <= OUTCOME_RETENTION_MS; ageMs += MINUTE_MS) {
+      if (performance.now() > deadline) break;
+      const isRead = await this.#findInMinute(toMinute(nowMs - ageMs), requestId, found, deadline);
+      if (!isRead) break;
+    }
+    return found;
+  }
+
+  async #findInMinute(
+    minute: number,
+    requestId: string,
+    found: OutcomeRecord[],
+    deadline: number,
+  ): Promise<boolean> {
+    const { client, telemetry } = this.options;
+    try {
+      const objects = await client.listObjects(`${OUTCOME_PREFIX}${minute}/`);
+      const keys = objects.map(({ key }) => key);
+      while (keys.length > 0 && performance.now() <= deadline) {
+        const reads = keys.splice(0, MAX_PARALLEL_READS).map((key) => client.getObject(key));
+        for (const object of await Promise.all(reads)) {
+          const records = parseRecords(object?.text ?? '[]');
+          found.push(...records.filter((record) => record.requestId === requestId));
+        }
+      }
+      return true;
+    } catch (error) {
+      telemetry.log.warn('outcome records could not be read from the platform', {
+        error: String(error),
+      });
+      return false;
+    }
+  }
+
+  #handleMessage(instanceId: string, message: PeerMessage): void {
+    if (message.kind === 'find-outcome') {
+      const { queryId, requestId } = message;
+      const records = this.#store.findRecords(requestId);
+      this.options.peer.sendMessage(instanceId, { kind: 'outcome-reply', queryId, records });
+    }
+    if (message.kind === 'outcome-reply') {
+      this.#queries.handleReply(instanceId, message.queryId, message.records);
+    }
+  }
+}
+
+function parseRecords(text: string): OutcomeRecord[] {
+  try {
+    const values: unknown = JSON.parse(text);
+    return Array.isArray(values) ? values.filter((value) => isValidOutcomeRecord(value)) : [];
+  } catch {
+    return [];
+  }
+}
+
+function removeRepeats(records: readonly OutcomeRecord[]): OutcomeRecord[] {
+  const byIdentity = new Map(
+    records.map((record) => [
+      `${record.recordedBy}/${record.receivedAtMs}/${record.outcome}`,
+      record,
+    ]),
+  );
+  return [...byIdentity.values()];
+}
