--- /dev/null
+++ b/packages/platform/test/bundle-store.test.ts
@@ -0,0 +1,110 @@
+import { beforeEach, describe, expect, test } from 'vitest';
+import { BUNDLE_HEAD_KEY, BundleStore, createBundleEnvelope } from '../src/index';
+import { FakePlatform } from './fake-platform';
+import type { PutFault } from './fake-platform';
+import { buildBundleText, buildEnvelope, signText, trustedOperators } from './operators';
+
+describe('BundleStore', () => {
+  let platform: FakePlatform;
+  let store: BundleStore;
+
+  beforeEach(() => {
+    platform = new FakePlatform();
+    store = createStore();
+  });
+
+  function createStore(): BundleStore {
+    return new BundleStore({
+      client: platform,
+      trustedOperators,
+      requiredSignatures: 2,
+      acceptTimeoutMs: 60,
+      retryDelayMs: 2,
+    });
+  }
+
+  // Guards against an accepted bundle reported as failed, or the reverse, after lost confirmations.
+  test.each<{ faults: PutFault[] }>([
+    { faults: [] },
+    { faults: ['lost'] },
+    { faults: ['unconfirmed'] },
+    { faults: ['none', 'lost'] },
+    { faults: ['none', 'unconfirmed'] },
+    { faults: ['late', 'none', 'late'] },
+  ])('accepts a bundle after the write faults $faults', async ({ faults }) => {
+    platform.putFaults = faults;
+    const envelope = buildEnvelope(1, ['ana', 'bongi']);
+    const result = await store.acceptBundle(envelope, 'ana');
+    expect(result).toMatchObject({ kind: 'accepted', head: { number: 1, acceptedBy: 'ana' } });
+    platform.applyLateWrites();
+    const stored = await store.readHead();
+    expect(stored?.head.signers).toEqual(['ana', 'bongi']);
+    await expect(store.readBundle(1, stored?.head.digest ?? '')).resolves.toEqual(envelope);
+    await expect(store.acceptBundle(envelope, 'ana')).resolves.toMatchObject({ kind: 'accepted' });
+  });
+
+  // Guards against two operators who both believe that their bundle is in force.
+  test('lets one of two racing operators win and tells the other who did', async () => {
+    await store.acceptBundle(buildEnvelope(1, ['ana', 'bongi']), 'ana');
+    const results = await Promise.all(
+      ['ana', 'bongi'].map((operator) => {
+        const content = buildBundleText(2, `by ${operator}`);
+        return createStore().acceptBundle(
+          buildEnvelope(2, [operator, 'carlos'], content),
+          operator,
+        );
+      }),
+    );
+    const winner = results.find(({ kind }) => kind === 'accepted');
+    const loser = results.find(({ kind }) => kind === 'conflict');
+    const head = (await store.readHead())?.head;
+    expect(winner).toEqual({ kind: 'accepted', head });
+    expect(loser).toEqual({ kind: 'conflict', winner: head });
+  });
+
+  // Guards against an unconfirmed update that is reported as lost once a later bundle replaced it.
+  test('reports unknown when the head moved on before the read-back', async () => {
+    let isUpdated = false;
+    platform.beforePut = (key) => {
+      if (key !== BUNDLE_HEAD_KEY || isUpdated) return;
+      isUpdated = true;
+      platform.putFaults = ['lost'];
+      const head = {
+        number: 2,
+        digest: 'f'.repeat(64),
+        acceptedBy: 'b',
+        acceptedAtMs: 1,
+        signers: [],
+      };
+      platform.applyPut(BUNDLE_HEAD_KEY, JSON.stringify(head), { kind: 'absent' });
+    };
+    const result = await store.acceptBundle(buildEnvelope(1, ['ana', 'bongi']), 'ana');
+    expect(result).toMatchObject({ kind: 'unknown', head: { number: 2 } });
+  });
+
+  test('reports unknown when the platform stays down', async () => {
+    platform.isDown = true;
+    const result = await store.acceptBundle(buildEnvelope(1, ['ana', 'bongi']), 'ana');
+    expect(result).toMatchObject({ kind: 'unknown', operation: `get ${BUNDLE_HEAD_KEY}` });
+  });
+
+  // Guards against unsigned, malformed or skipped bundles; nothing may be written for them.
+  test.each([
+    { name: 'one signature', envelope: buildEnvelope(1, ['ana']), pointers: ['/signatures'] },
+    {
+      name: 'a skipped number',
+      envelope: buildEnvelope(3, ['ana', 'bongi']),
+      pointers: ['/number'],
+    },
+    {
+      name: 'no content and no signature',
+      envelope: createBundleEnvelope('{}', [signText('{}', 'ana')]),
+      pointers: ['', '', '', '', '', '', '', '/signatures'],
+    },
+  ])('refuses $name', async ({ envelope, pointers }) => {
+    const result = await store.acceptBundle(envelope, 'ana');
+    const findings = result.kind === 'invalid' ? result.findings : [];
+    expect(findings.map(({ pointer }) => pointer)).toEqual(pointers);
+    expect(platform.objects.size).toBe(0);
+  });
+});
--- a/packages/platform/test/claim-range-writer.test.ts
+++ b/packages/platform/test/claim-range-writer.test.ts
@@ -106,6 +106,28 @@
     expect(await owner.claimKey(createRequest('k', 'n2'))).toEqual({ result: 'claimed' });
   });
 
+  // Guards against a claim granted in the same update that says that it was given up.
+  test('applies a settlement before a late claim of its nonce', async () => {
+    const writer = createWriter();
+    const late = writer.claimKey(createRequest('k', 'n1'));
+    writer.recordSettlement({ keyHash: 'k', nonce: 'n1', state: 'not-run' });
+    expect(await late).toEqual({ result: 'unavailable', reason: 'given-up' });
+    expect(await writer.claimKey(createRequest('k', 'n2'))).toEqual({ result: 'claimed' });
+  });
+
+  // Guards against refusing a key, or granting a nonce again, from content that is out of date.
+  test('reads the object again before it answers without an update', async () => {
+    const writer = createWriter();
+    await writer.claimKey(createRequest('k', 'n1'));
+    const successor = createWriter();
+    successor.recordSettlement({ keyHash: 'k', nonce: 'n1', state: 'not-run' });
+    await successor.flush();
+    expect(await writer.claimKey(createRequest('k', 'n1'))).toMatchObject({
+      result: 'unavailable',
+    });
+    expect(await writer.claimKey(createRequest('k', 'n2'))).toEqual({ result: 'claimed' });
+  });
+
   test.each([
     { ageMs: RETENTION_MS, result: 'duplicate' },
     { ageMs: RETENTION_MS + 300_001, result: 'claimed' },
