--- a/packages/cli/src/command-table.ts
+++ b/packages/cli/src/command-table.ts
@@ -1,4 +1,10 @@
 import type { Command, Config } from '@oclif/core';
+import { BundleAccept } from './commands/bundle-accept';
+import { BundleDiff } from './commands/bundle-diff';
+import { BundleNew } from './commands/bundle-new';
+import { BundleRollback } from './commands/bundle-rollback';
+import { BundleSign } from './commands/bundle-sign';
+import { BundleValidate } from './commands/bundle-validate';
 import { Explain } from './commands/explain';
 import { KeysNew } from './commands/keys-new';
 import { Report } from './commands/report';
@@ -9,6 +15,12 @@
 
 /** All commands by their words. */
 export const commandTable: ReadonlyMap<string, CommandClass> = new Map<string, CommandClass>([
+  ['bundle accept', BundleAccept],
+  ['bundle diff', BundleDiff],
+  ['bundle new', BundleNew],
+  ['bundle rollback', BundleRollback],
+  ['bundle sign', BundleSign],
+  ['bundle validate', BundleValidate],
   ['explain', Explain],
   ['keys new', KeysNew],
   ['report', Report],
