Add SWIM membership over UDP

Cause: shards and claims need one view of the live instances that does not depend on the platform. Ruled out: encoding the update objects with their field names, because one member state then takes about 170 of the 400 bytes; values travel by position and are expanded before validation. Gossiping the first word of every listed member, because a simultaneous start of 530 kept every datagram full. Change: a state machine without input or output, a datagram codec with HMAC, and the task that owns the socket.

--- /dev/null
+++ b/packages/router/src/membership/crash-store.ts
@@ -0,0 +1,97 @@
+import type { CrashReport } from '../ports';
+
+/** How long crash reports count. */
+export const CRASH_RETENTION_MS = 600_000;
+const MAX_REPORTS = 4_096;
+// Gossip dates a report by its age, which misses the transit time of each hop. Two crashes of one
+// server under one request are further apart, because the server restarts in between.
+const SAME_CRASH_WINDOW_MS = 2_000;
+
+interface StoredReport {
+  report:
+    | { kind: 'crash'; fingerprint: string; serverId: string }
+    | { kind: 'cleared'; fingerprint: string };
+  atMs: number;
+}
+
+/** Crash reports of the last 10 minutes. A clearance outweighs the crashes before it. */
+export class CrashStore {
+  readonly #reports = new Map<string, StoredReport>();
+
+  /** Stores a report and returns its topic when it is news. */
+  add(report: CrashReport, nowMs: number): string | undefined {
+    this.#expireReports(nowMs);
+    if (report.ageMs >= CRASH_RETENTION_MS) return undefined;
+    const atMs = nowMs - report.ageMs;
+    const clearedAtMs = this.#reports.get(`cleared ${report.fingerprint}`)?.atMs ?? -Infinity;
+    if (atMs <= clearedAtMs) return undefined;
+    const topic = buildTopic(report, atMs);
+    if (report.kind === 'crash') {
+      if (this.#hasCrash(report.fingerprint, report.serverId, atMs)) return undefined;
+      const { kind, fingerprint, serverId } = report;
+      this.#reports.set(topic, { report: { kind, fingerprint, serverId }, atMs });
+    } else {
+      // A repeated clearance has the same age apart from transit time, so it is not news.
+      if (!this.#removeCrashes(report.fingerprint, atMs) && clearedAtMs > -Infinity)
+        return undefined;
+      this.#reports.set(topic, {
+        report: { kind: 'cleared', fingerprint: report.fingerprint },
+        atMs,
+      });
+    }
+    if (this.#reports.size > MAX_REPORTS) this.#removeOldest();
+    return topic;
+  }
+
+  get(topic: string, nowMs: number): CrashReport | undefined {
+    const stored = this.#reports.get(topic);
+    if (stored === undefined) return undefined;
+    const ageMs = Math.max(0, nowMs - stored.atMs);
+    return ageMs < CRASH_RETENTION_MS ? { ...stored.report, ageMs } : undefined;
+  }
+
+  list(nowMs: number): CrashReport[] {
+    this.#expireReports(nowMs);
+    return [...this.#reports.values()].map(({ report, atMs }) => ({
+      ...report,
+      ageMs: Math.max(0, nowMs - atMs),
+    }));
+  }
+
+  #hasCrash(fingerprint: string, serverId: string, atMs: number): boolean {
+    return [...this.#reports.values()].some(
+      (stored) =>
+        stored.report.kind === 'crash' &&
+        stored.report.fingerprint === fingerprint &&
+        stored.report.serverId === serverId &&
+        Math.abs(stored.atMs - atMs) < SAME_CRASH_WINDOW_MS,
+    );
+  }
+
+  #removeCrashes(fingerprint: string, untilMs: number): boolean {
+    let hasRemoved = false;
+    for (const [topic, { report, atMs }] of this.#reports) {
+      if (report.kind !== 'crash' || report.fingerprint !== fingerprint || atMs > untilMs) continue;
+      this.#reports.delete(topic);
+      hasRemoved = true;
+    }
+    return hasRemoved;
+  }
+
+  #expireReports(nowMs: number): void {
+    for (const [topic, { atMs }] of this.#reports) {
+      if (nowMs - atMs >= CRASH_RETENTION_MS) this.#reports.delete(topic);
+    }
+  }
+
+  #removeOldest(): void {
+    const [oldest] = this.#reports.keys();
+    if (oldest !== undefined) this.#reports.delete(oldest);
+  }
+}
+
+function buildTopic(report: CrashReport, atMs: number): string {
+  return report.kind === 'crash'
+    ? `crash ${report.fingerprint} ${report.serverId} ${Math.round(atMs)}`
+    : `cleared ${report.fingerprint}`;
+}
--- /dev/null
+++ b/packages/router/src/membership/datagram-builder.ts
@@ -0,0 +1,53 @@
+import type { Datagram, MemberUpdate } from '@pollendrum/protocol';
+import { MAX_DATAGRAM_BYTES, measureDatagram, measureUpdate } from './datagram-codec';
+import type { GossipQueue } from './gossip-queue';
+
+export interface DatagramContent {
+  self: MemberUpdate;
+  sequence: number;
+  bundleNumber: number;
+  /** Updates that matter to this receiver; sent before gossip when they fit. */
+  directUpdates: readonly MemberUpdate[];
+  memberCount: number;
+}
+
+/** Member that an indirect probe asks about; undefined makes a probe or an answer. */
+export type DatagramPurpose =
+  { kind: 'probe' | 'probe-ack' } | { kind: 'indirect-probe'; target: MemberUpdate };
+
+/** Fills a datagram up to the size limit. */
+export function buildDatagram(
+  purpose: DatagramPurpose,
+  content: DatagramContent,
+  gossip: GossipQueue,
+  nowMs: number,
+): Datagram {
+  const datagram = buildEmpty(purpose, content);
+  let roomBytes = MAX_DATAGRAM_BYTES - measureDatagram(datagram);
+  const skip = new Set<string>();
+  for (const update of content.directUpdates) {
+    const size = measureUpdate(update);
+    if (size > roomBytes) continue;
+    roomBytes -= size;
+    datagram.updates.push(update);
+    skip.add(toMemberTopic(update.instanceId));
+  }
+  datagram.updates.push(...gossip.takeUpdates(roomBytes, content.memberCount, skip, nowMs));
+  return datagram;
+}
+
+/** Topic of a member's state in the gossip queue. */
+export function toMemberTopic(instanceId: string): string {
+  return `member ${instanceId}`;
+}
+
+function buildEmpty(purpose: DatagramPurpose, content: DatagramContent): Datagram {
+  const { self, sequence, bundleNumber } = content;
+  const common = { sequence, from: self.instanceId, bundleNumber, updates: [] };
+  if (purpose.kind !== 'indirect-probe') return { kind: purpose.kind, ...common };
+  const { instanceId, address, peerPort } = purpose.target;
+  return {
+    ...{ kind: purpose.kind, ...common },
+    ...{ targetInstanceId: instanceId, targetAddress: address, targetPort: peerPort },
+  };
+}
--- /dev/null
+++ b/packages/router/src/membership/membership-types.ts
@@ -0,0 +1,29 @@
+import type { Datagram, MemberUpdate } from '@pollendrum/protocol';
+import type { CrashReport } from '../ports';
+
+/** This instance as the others are told of it. */
+export type SelfDescription = Omit<MemberUpdate, 'kind' | 'incarnation' | 'state'>;
+
+export interface MembershipStateOptions {
+  self: SelfDescription;
+  /** Uniform in [0, 1). */
+  random: () => number;
+  /**
+   * Period of probes in milliseconds.
+   * @default 500
+   */
+  probeIntervalMs?: number;
+}
+
+/** What the caller has to carry out. */
+export type MembershipEffect =
+  | { kind: 'send'; address: string; port: number; datagram: Datagram }
+  | { kind: 'view-changed' }
+  | { kind: 'crash-reported'; report: CrashReport }
+  | { kind: 'bundle-number-raised'; bundleNumber: number; instanceId: string };
+
+/** Where a datagram came from. */
+export interface DatagramSource {
+  address: string;
+  port: number;
+}
--- /dev/null
+++ b/packages/router/test/membership/membership-state.test.ts
@@ -0,0 +1,173 @@
+import fc from 'fast-check';
+import { describe, expect, test } from 'vitest';
+import { MAX_DATAGRAM_BYTES } from '../../src/membership/datagram-codec';
+import { SimulatedFleet } from './simulated-fleet';
+
+const NETWORKS = {
+  lossRatio: fc.double({ min: 0, max: 0.2, noNaN: true }),
+  maxDelayMs: fc.integer({ min: 1, max: 90 }),
+};
+const FLEETS = fc.record({ size: fc.integer({ min: 3, max: 40 }), seed: fc.nat(), ...NETWORKS });
+
+describe('detection', () => {
+  // Guards against a dead instance that keeps its shards because probes or gossip stop too early.
+  test.each([1, 2])(
+    'removes a dead instance everywhere under loss and reordering, seed %i',
+    (seed) => {
+      fc.assert(
+        fc.property(FLEETS, (options) => {
+          const fleet = new SimulatedFleet(options);
+          fleet.run(3_000);
+          fleet.getNode(1).isUp = false;
+          const isRemoved = () =>
+            fleet.findObservers('instance-1', ['absent']).length === options.size - 1;
+          expect(fleet.run(15_000, isRemoved)).toBe(true);
+        }),
+        { seed, numRuns: 15 },
+      );
+    },
+  );
+
+  // Guards against healthy instances that lose their shards because some datagrams are lost.
+  test.each([3, 4])('keeps every live instance at a loss of 1 in 5, seed %i', (seed) => {
+    const fleet = new SimulatedFleet({ size: 12, seed, lossRatio: 0.2, maxDelayMs: 90 });
+    fleet.run(60_000);
+    for (const { id } of fleet.nodes) expect(fleet.findObservers(id, ['absent'])).toEqual([]);
+  });
+
+  // Guards against an instance that blames its peers for its own pause.
+  test('removes nobody after a pause of the own process', () => {
+    const fleet = new SimulatedFleet({ size: 5, seed: 5 });
+    fleet.run(3_000);
+    fleet.getNode(0).isUp = false;
+    fleet.run(800);
+    fleet.getNode(0).isUp = true;
+    fleet.run(1);
+    for (const { id } of fleet.nodes.slice(1)) {
+      expect(fleet.findObservers(id, ['absent'])).toEqual([]);
+    }
+  });
+});
+
+describe('refutation', () => {
+  // Guards against one bad path making a live instance lose its shards.
+  test('keeps an instance that only one other cannot reach', () => {
+    const fleet = new SimulatedFleet({ size: 6, seed: 6 });
+    fleet.isCut = (from, to) => (from === 0 && to === 1) || (from === 1 && to === 0);
+    fleet.run(30_000);
+    expect(fleet.findObservers('instance-1', ['absent'])).toEqual([]);
+  });
+
+  // Guards against a suspicion that reaches its subject and is not answered.
+  test('raises the incarnation when the instance hears that it is suspected', () => {
+    const fleet = new SimulatedFleet({ size: 4, seed: 7 });
+    fleet.run(2_000);
+    fleet.isCut = (from, to) => from === 1 || to === 1;
+    expect(fleet.run(3_000, () => fleet.findObservers('instance-1', ['suspect']).length > 1)).toBe(
+      true,
+    );
+    fleet.isCut = () => false;
+    fleet.run(4_000);
+    expect(fleet.findObservers('instance-1', ['alive'])).toHaveLength(4);
+  });
+
+  // Guards against a fleet that stays split after a partition in which each side removed the other.
+  test.each([8, 9])('merges both sides after a long partition, seed %i', (seed) => {
+    const fleet = new SimulatedFleet({ size: 8, seed });
+    fleet.run(2_000);
+    fleet.isCut = (from, to) => from < 4 !== to < 4;
+    fleet.run(20_000);
+    expect(fleet.findObservers('instance-0', ['absent'])).toHaveLength(4);
+    fleet.isCut = () => false;
+    const isWhole = () =>
+      fleet.nodes.every(({ id }) => fleet.findObservers(id, ['alive']).length === 8);
+    expect(fleet.run(60_000, isWhole)).toBe(true);
+  });
+});
+
+describe('leaving', () => {
+  // Guards against a stopping instance that keeps owning shards, or comes back while it drains.
+  test('is known everywhere and lasts until the instance is gone', () => {
+    const fleet = new SimulatedFleet({ size: 9, seed: 10, lossRatio: 0.1 });
+    fleet.run(3_000);
+    fleet.apply(2, fleet.getNode(2).state.publishLeaving(fleet.nowMs));
+    expect(
+      fleet.run(5_000, () => fleet.findObservers('instance-2', ['leaving']).length === 9),
+    ).toBe(true);
+    fleet.getNode(2).isUp = false;
+    const isWrong = () => fleet.findObservers('instance-2', ['alive', 'suspect']).length > 0;
+    expect(fleet.run(12_000, isWrong)).toBe(false);
+    expect(fleet.findObservers('instance-2', ['absent'])).toHaveLength(8);
+  });
+});
+
+describe('platform list', () => {
+  // Guards against a lagging or wrong list that removes an instance which answers.
+  test('never removes an instance that answers', () => {
+    const fleet = new SimulatedFleet({ size: 5, seed: 11 });
+    for (let round = 0; round < 5; round += 1) {
+      fleet.run(20_000);
+      fleet.mergeList(0, fleet.listed.slice(0, 4));
+    }
+    expect(fleet.findObservers('instance-4', ['alive'])).toHaveLength(5);
+  });
+
+  // Guards against a newly listed instance that never takes part until it contacts the others itself.
+  test('adds an unknown instance as alive and probes it', () => {
+    const fleet = new SimulatedFleet({ size: 3, seed: 12 });
+    const listed = { ...fleet.listed[1], id: 'ghost', peerPort: 10_002 };
+    fleet.mergeList(0, [...fleet.listed, listed as (typeof fleet.listed)[number]]);
+    expect(fleet.findObservers('ghost', ['alive'])).toEqual([0]);
+    fleet.run(10_000);
+    expect(fleet.findObservers('ghost', ['alive', 'suspect'])).toEqual([]);
+  });
+});
+
+describe('gossip', () => {
+  // Guards against a crash report or a bundle number that reaches only some dispatchers.
+  test('carries crash reports, clearances and bundle numbers to all', () => {
+    const fleet = new SimulatedFleet({ size: 20, seed: 13, lossRatio: 0.1 });
+    fleet.run(1_000);
+    const { state } = fleet.getNode(3);
+    state.setBundleNumber(7);
+    const crash = { kind: 'crash', fingerprint: 'f1', serverId: 's1', ageMs: 0 } as const;
+    fleet.apply(3, state.publishCrash(crash, fleet.nowMs));
+    const countCrashes = () =>
+      fleet.nodes.filter(({ state: each }) => each.listCrashes(fleet.nowMs)[0]?.kind === 'crash')
+        .length;
+    expect(fleet.run(8_000, () => countCrashes() === 20)).toBe(true);
+    const heard = fleet.nodes.filter(({ effects }) =>
+      effects.some((effect) => effect.kind === 'bundle-number-raised' && effect.bundleNumber === 7),
+    );
+    expect(heard).toHaveLength(19);
+    fleet.apply(5, fleet.getNode(5).state.publishCrash({ ...crash, kind: 'cleared' }, fleet.nowMs));
+    expect(fleet.run(8_000, () => countCrashes() === 0)).toBe(true);
+    expect(state.listCrashes(fleet.nowMs + 600_001)).toEqual([]);
+  });
+});
+
+describe('cost', () => {
+  // Guards against datagrams that grow and a cost that rises with the fleet beyond 2 KB/s.
+  test.each([50, 530])(
+    'stays under 2 KB/s for each of %i members and datagrams within 400 bytes',
+    (size) => {
+      const fleet = new SimulatedFleet({ size, seed: 14 });
+      fleet.run(4_000);
+      for (const node of fleet.nodes) node.sentBytes = 0;
+      fleet.getNode(1).isUp = false;
+      const startMs = fleet.nowMs;
+      const isRemoved = () => fleet.findObservers('instance-1', ['absent']).length === size - 1;
+      while (!isRemoved() && fleet.nowMs - startMs < 15_000) fleet.run(100);
+      const detectedMs = fleet.nowMs - startMs;
+      const rates = fleet.nodes.slice(2).map(({ sentBytes }) => (sentBytes * 1_000) / detectedMs);
+      const mean = rates.reduce((sum, rate) => sum + rate, 0) / rates.length;
+      console.info(
+        `${size} members: mean ${mean.toFixed(0)} B/s, highest ${Math.max(...rates).toFixed(0)} B/s, removed everywhere after ${detectedMs} ms, largest datagram ${fleet.largestDatagramBytes} B`,
+      );
+      expect(detectedMs).toBeLessThan(15_000);
+      expect(mean).toBeLessThan(2_000);
+      expect(fleet.largestDatagramBytes).toBeLessThanOrEqual(MAX_DATAGRAM_BYTES);
+    },
+    120_000,
+  );
+});
--- /dev/null
+++ b/packages/router/test/membership/membership-task.test.ts
@@ -0,0 +1,63 @@
+import type { Datagram } from '@pollendrum/protocol';
+import { expect, test } from 'vitest';
+import { decodeDatagram, encodeDatagram } from '../../src/membership/datagram-codec';
+import { createMembershipTask, type MembershipTask } from '../../src/membership/index';
+import { buildListed } from './simulated-fleet';
+
+const SILENT_LOG = {
+  error: () => undefined,
+  warn: () => undefined,
+  info: () => undefined,
+  debug: () => undefined,
+};
+const SILENT_METRICS = {
+  increment: () => undefined,
+  gauge: () => undefined,
+  timing: () => undefined,
+};
+const PROBE: Datagram = { kind: 'probe', sequence: 1, from: 'a', bundleNumber: 0, updates: [] };
+
+function startTask(index: number, clusterKey = 'key'): Promise<MembershipTask> {
+  const { id, address, failureDomain, region } = buildListed(index);
+  return createMembershipTask({
+    self: { instanceId: id, address, peerPort: 0, adminPort: 1, failureDomain, region },
+    ...{ clusterKey, log: SILENT_LOG, metrics: SILENT_METRICS, probeIntervalMs: 50 },
+  });
+}
+
+// Guards against a socket that does not carry what the state machine decides.
+test('tasks find each other over loopback from one list', async () => {
+  await using first = await startTask(0);
+  await using second = await startTask(1);
+  first.mergeList([{ ...buildListed(1), peerPort: second.port }]);
+  await expect
+    .poll(() =>
+      second
+        .getView()
+        .members.map(({ instanceId }) => instanceId)
+        .sort(),
+    )
+    .toEqual(['instance-0', 'instance-1']);
+});
+
+// Guards against membership changes by a process that does not have the cluster key.
+test('a task with another key is not heard', async () => {
+  await using first = await startTask(0);
+  await using stranger = await startTask(1, 'other key');
+  stranger.mergeList([{ ...buildListed(0), peerPort: first.port }]);
+  await expect.poll(() => stranger.getView().members.length, { timeout: 5_000 }).toBe(1);
+  expect(first.getView().members).toHaveLength(1);
+});
+
+test.each([
+  [
+    'a changed byte',
+    (bytes: Buffer) => Buffer.from(bytes.map((byte, i) => (i === 1 ? byte ^ 1 : byte))),
+    'not-authentic',
+  ],
+  ['a short datagram', (bytes: Buffer) => bytes.subarray(0, 8), 'malformed'],
+  ['a long datagram', (bytes: Buffer) => Buffer.concat([bytes, Buffer.alloc(400)]), 'too-large'],
+])('refuses %s', (_, change, fault) => {
+  const bytes = change(encodeDatagram(PROBE, 'key'));
+  expect(decodeDatagram(bytes, 'key')).toEqual({ kind: 'invalid', fault });
+});
--- /dev/null
+++ b/packages/router/test/membership/simulated-fleet.ts
@@ -0,0 +1,134 @@
+import type { Datagram, ListedInstance } from '@pollendrum/protocol';
+import { decodeDatagram, encodeDatagram } from '../../src/membership/datagram-codec';
+import { MembershipState, type MembershipEffect } from '../../src/membership/index';
+
+const KEY = 'test-key';
+
+export interface FleetOptions {
+  size: number;
+  seed: number;
+  lossRatio?: number;
+  maxDelayMs?: number;
+}
+
+interface SimulatedNode {
+  id: string;
+  state: MembershipState;
+  wakeMs: number;
+  isUp: boolean;
+  sentBytes: number;
+  effects: MembershipEffect[];
+}
+
+/** Returns a generator of numbers in [0, 1) that depends on the seed only. */
+export function createRandom(seed: number): () => number {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  };
+}
+
+export function buildListed(index: number): ListedInstance {
+  return {
+    ...{ id: `instance-${index}`, role: 'router', address: '127.0.0.1', port: 9000 },
+    ...{ peerPort: 10_000 + index, failureDomain: 'domain-1', region: 'region-1', state: 'live' },
+  };
+}
+
+/** State machines joined by a network in virtual time that loses, delays and reorders datagrams. */
+export class SimulatedFleet {
+  readonly nodes: SimulatedNode[] = [];
+  readonly listed: ListedInstance[];
+  largestDatagramBytes = 0;
+  nowMs = 0;
+  isCut: (fromIndex: number, toIndex: number) => boolean = () => false;
+  readonly #inFlight = new Map<number, { from: number; to: number; bytes: Buffer }[]>();
+  readonly #random: () => number;
+  readonly #options: FleetOptions;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.#random = createRandom(options.seed);
+    this.listed = Array.from({ length: options.size }, (_, index) => buildListed(index));
+    for (const { id, address, port, peerPort = 0, failureDomain, region } of this.listed) {
+      const self = { instanceId: id, address, peerPort, adminPort: port, failureDomain, region };
+      const state = new MembershipState({ self, random: this.#random });
+      const wakeMs = this.#random() * 500;
+      this.nodes.push({ id, state, wakeMs, isUp: true, sentBytes: 0, effects: [] });
+    }
+    for (const index of this.nodes.keys()) this.mergeList(index);
+  }
+
+  mergeList(index: number, instances: readonly ListedInstance[] = this.listed): void {
+    const node = this.getNode(index);
+    this.apply(index, node.state.mergeList(instances, this.nowMs));
+  }
+
+  getNode(index: number): SimulatedNode {
+    const node = this.nodes[index];
+    if (node === undefined) throw new RangeError(`no node ${index}`);
+    return node;
+  }
+
+  /** Indices of the nodes that are up and whose view holds the member in one of the states. */
+  findObservers(id: string, states: readonly string[]): number[] {
+    return [...this.nodes.keys()].filter((index) => {
+      const { state, isUp } = this.getNode(index);
+      const member = state.getView().members.find(({ instanceId }) => instanceId === id);
+      return isUp && states.includes(member?.state ?? 'absent');
+    });
+  }
+
+  run(durationMs: number, isDone: () => boolean = () => false): boolean {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += 1;
+      this.#runDeliveries();
+      for (const [index, node] of this.nodes.entries()) {
+        if (!node.isUp || node.wakeMs > this.nowMs) continue;
+        this.apply(index, node.state.handleTime(this.nowMs));
+      }
+      if (isDone()) return true;
+    }
+    return false;
+  }
+
+  apply(index: number, effects: readonly MembershipEffect[]): void {
+    const node = this.getNode(index);
+    node.effects.push(...effects);
+    for (const effect of effects) {
+      // A control task that hears of a newer bundle fetches it, and then has it in force itself.
+      if (effect.kind === 'bundle-number-raised') node.state.setBundleNumber(effect.bundleNumber);
+      if (effect.kind === 'send') this.#send(index, effect.port - 10_000, effect.datagram);
+    }
+    if (node.wakeMs <= this.nowMs) node.wakeMs = node.state.getNextWakeMs();
+    else node.wakeMs = Math.min(node.wakeMs, node.state.getNextWakeMs());
+  }
+
+  #send(from: number, to: number, datagram: Datagram): void {
+    const bytes = encodeDatagram(datagram, KEY);
+    this.getNode(from).sentBytes += bytes.length;
+    this.largestDatagramBytes = Math.max(this.largestDatagramBytes, bytes.length);
+    if (this.#random() < (this.#options.lossRatio ?? 0) || this.isCut(from, to)) return;
+    const atMs = this.nowMs + 1 + Math.floor(this.#random() * (this.#options.maxDelayMs ?? 5));
+    const due = this.#inFlight.get(atMs) ?? [];
+    due.push({ from, to, bytes });
+    this.#inFlight.set(atMs, due);
+  }
+
+  #runDeliveries(): void {
+    const due = this.#inFlight.get(this.nowMs) ?? [];
+    this.#inFlight.delete(this.nowMs);
+    for (const { from, to, bytes } of due) {
+      const node = this.getNode(to);
+      if (!node.isUp) continue;
+      const decoded = decodeDatagram(bytes, KEY);
+      if (decoded.kind === 'invalid') throw new Error(`datagram is ${decoded.fault}`);
+      const source = { address: '127.0.0.1', port: 10_000 + from };
+      this.apply(to, node.state.handleDatagram(decoded.datagram, source, this.nowMs));
+    }
+  }
+}
