Add links between instances over TCP

Cause: entries, dispatchers and claim owners exchange messages that need order and loss reports. Ruled out: a single proof in each direction without the other side's nonce, because a recorded hello could be replayed; the first side confirms with a third hello. Change: framed connections with a mutual handshake, pings, replacement of silent links, one link for each pair, a bound on waiting bytes, idle close and optional TLS. Checked: 18 tests over loopback. TLS has no test. Conclusion: messages are accepted only from known instances that hold the cluster key.

--- /dev/null
+++ b/packages/router/src/link/index.ts
@@ -0,0 +1,2 @@
+export { createLinkTask, type LinkTask, type LinkTaskOptions } from './link-task';
+export type { LinkTls } from './socket-factory';
--- /dev/null
+++ b/packages/router/src/link/link-task.ts
@@ -0,0 +1,295 @@
+import type { AddressInfo, Server } from 'node:net';
+import { once } from 'node:events';
+import { encodeFrame, type PeerMessage } from '@pollendrum/protocol';
+import type { LogPort, Member, MetricsPort, PeerPort, Unsubscribe } from '../ports';
+import { Connection, type CloseReason, type HelloDecision } from './connection';
+import type { HandshakeOptions } from './handshake';
+import { PeerLink } from './peer-link';
+import { connectSocket, openServer, type LinkTls } from './socket-factory';
+
+/** Period of pings on a link on which something is pending. */
+export const PING_INTERVAL_MS = 500;
+/** A link without an answer for this long is replaced. */
+export const LINK_SILENCE_MS = 1_500;
+/** Links without messages for this long are closed. */
+export const LINK_IDLE_MS = 60_000;
+/** Outgoing bytes that may wait on one link. */
+export const MAX_BUFFERED_BYTES = 8_388_608;
+
+const CHECK_INTERVAL_MS = 250;
+// The sides measure idleness a little apart; the later one does not report the close as a loss.
+const IDLE_TOLERANCE_MS = 5_000;
+
+export interface LinkTaskOptions extends HandshakeOptions {
+  /** IP address to listen on. */
+  address: string;
+  /** TCP port; 0 takes any free port. */
+  port: number;
+  /** Looks an instance up in the membership view. */
+  getMember: (instanceId: string) => Member | undefined;
+  log: LogPort;
+  metrics: MetricsPort;
+  /** Encrypts links; undefined: plain TCP. */
+  tls?: LinkTls;
+  /**
+   * Links without messages for this long are closed, in milliseconds.
+   * @default 60000
+   */
+  idleMs?: number;
+  /**
+   * Outgoing bytes that may wait on one link.
+   * @default 8388608
+   */
+  maxBufferedBytes?: number;
+}
+
+export interface LinkTask extends PeerPort, AsyncDisposable {
+  /** TCP port in use. */
+  readonly port: number;
+  /** Instances with an established link. */
+  listLinked(): string[];
+}
+
+/**
+ * Listens for links and opens links on demand.
+ * @throws Error with code EADDRINUSE when the port is taken.
+ */
+export async function createLinkTask(options: LinkTaskOptions): Promise<LinkTask> {
+  const task = new TcpLinkTask(options);
+  await task.start();
+  return task;
+}
+
+class TcpLinkTask implements LinkTask {
+  readonly instanceId: string;
+  readonly #options: LinkTaskOptions;
+  readonly #peers = new Map<string, PeerLink>();
+  readonly #connections = new Set<Connection>();
+  readonly #messageListeners = new Set<(instanceId: string, message: PeerMessage) => void>();
+  readonly #lostListeners = new Set<(instanceId: string) => void>();
+  #server: Server | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #lastCheckMs = performance.now();
+  #isStopped = false;
+
+  constructor(options: LinkTaskOptions) {
+    this.#options = options;
+    this.instanceId = options.instanceId;
+  }
+
+  get port(): number {
+    return (this.#server?.address() as AddressInfo).port;
+  }
+
+  async start(): Promise<void> {
+    const { address, port, tls, log } = this.#options;
+    this.#server = await openServer(address, port, tls, (socket) => {
+      this.#connections.add(new Connection(socket, { kind: 'accepted' }, this.#options, this));
+    });
+    this.#server.on('error', (error) => {
+      log.error(`link listener failed: ${error.message}`);
+    });
+    this.#lastCheckMs = performance.now();
+    this.#timer = setInterval(() => {
+      this.#checkPeers();
+    }, CHECK_INTERVAL_MS);
+  }
+
+  listLinked(): string[] {
+    return [...this.#peers].filter(([, peer]) => peer.active !== undefined).map(([id]) => id);
+  }
+
+  sendMessage(instanceId: string, message: PeerMessage): boolean {
+    if (this.#isStopped) return false;
+    if (instanceId === this.instanceId) {
+      setImmediate(() => {
+        this.#notifyMessage(instanceId, message);
+      });
+      return true;
+    }
+    if (this.#options.getMember(instanceId) === undefined) return false;
+    const peer = this.#getPeer(instanceId);
+    const isOverLimit = peer.addFrame(encodeFrame(message), performance.now());
+    if (isOverLimit) this.#releaseFull(peer);
+    else if (!peer.hasConnection) this.#connectPeer(peer);
+    return true;
+  }
+
+  watchMessages(listener: (instanceId: string, message: PeerMessage) => void): Unsubscribe {
+    return addListener(this.#messageListeners, listener);
+  }
+
+  watchLost(listener: (instanceId: string) => void): Unsubscribe {
+    return addListener(this.#lostListeners, listener);
+  }
+
+  requestPings(instanceId: string): Unsubscribe {
+    if (instanceId === this.instanceId) return () => undefined;
+    const peer = this.#getPeer(instanceId);
+    peer.pingRequests += 1;
+    let isActive = true;
+    return () => {
+      if (isActive) peer.pingRequests -= 1;
+      isActive = false;
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    if (this.#isStopped) return;
+    this.#isStopped = true;
+    clearInterval(this.#timer);
+    for (const connection of this.#connections) connection.close('stopped');
+    if (this.#server === undefined) return;
+    const closed = once(this.#server, 'close');
+    this.#server.close();
+    await closed;
+  }
+
+  /** Of two connections opened at the same time, the one dialed by the lower instance id stays. */
+  handleHello(connection: Connection, instanceId: string): HelloDecision {
+    if (this.#isStopped || this.#options.getMember(instanceId) === undefined) return 'refuse';
+    if (instanceId === this.instanceId) return 'refuse';
+    const peer = this.#getPeer(instanceId);
+    peer.accepting.add(connection);
+    const isOwnDialPreferred = this.instanceId < instanceId && peer.hasYoungDial(performance.now());
+    return isOwnDialPreferred ? 'park' : 'accept';
+  }
+
+  handleEstablished(connection: Connection, instanceId: string): void {
+    const peer = this.#getPeer(instanceId);
+    const replaced = peer.setActive(connection, performance.now());
+    for (const other of replaced.unused) other.close('duplicate');
+    if (replaced.previous === undefined) return;
+    replaced.previous.close('duplicate');
+    this.#notifyLost(instanceId);
+  }
+
+  handleMessage(connection: Connection, message: PeerMessage): void {
+    const { instanceId } = connection;
+    if (instanceId === undefined || this.#options.getMember(instanceId) === undefined) {
+      connection.close('unknown-instance');
+      return;
+    }
+    const peer = this.#getPeer(instanceId);
+    if (peer.active !== connection) return;
+    peer.observeReceived(performance.now(), message.kind);
+    if (message.kind === 'ping') {
+      connection.writeFrame(encodeFrame({ kind: 'pong', sequence: message.sequence }));
+    } else if (message.kind !== 'pong') {
+      this.#notifyMessage(instanceId, message);
+    }
+  }
+
+  handleClosed(connection: Connection, reason: CloseReason): void {
+    this.#connections.delete(connection);
+    const { instanceId } = connection;
+    const peer = instanceId === undefined ? undefined : this.#peers.get(instanceId);
+    this.#options.log.debug(`link connection closed: ${reason}`, { instanceId });
+    this.#options.metrics.increment('link.closed', { reason });
+    if (peer === undefined || this.#isStopped) return;
+    const isLoss = this.#removeConnection(peer, connection, reason);
+    if (isLoss) this.#notifyLost(peer.instanceId);
+  }
+
+  /** Returns whether messages may have been lost with the connection. */
+  #removeConnection(peer: PeerLink, connection: Connection, reason: CloseReason): boolean {
+    const wasActive = peer.active === connection;
+    const isLoss = wasActive && !this.#isIdleClose(peer, reason);
+    peer.removeConnection(connection);
+    // The other side's attempt waited for the connection that is now gone.
+    for (const parked of peer.accepting) parked.resumeHandshake();
+    if (wasActive) return isLoss;
+    if (peer.hasConnection) return false;
+    return peer.clearQueue() > 0;
+  }
+
+  #isIdleClose(peer: PeerLink, reason: CloseReason): boolean {
+    if (reason === 'idle') return true;
+    if (reason !== 'closed-by-peer' || peer.pingRequests > 0) return false;
+    const idleMs = this.#options.idleMs ?? LINK_IDLE_MS;
+    const tolerance = Math.min(IDLE_TOLERANCE_MS, idleMs / 2);
+    return (
+      peer.unansweredSinceMs === undefined &&
+      peer.computeIdleMs(performance.now()) >= idleMs - tolerance
+    );
+  }
+
+  #releaseFull(peer: PeerLink): void {
+    this.#options.log.warn('link has too many bytes waiting; replacing it', {
+      instanceId: peer.instanceId,
+    });
+    if (peer.active !== undefined) {
+      peer.active.close('buffer-full');
+      return;
+    }
+    peer.clearQueue();
+    setImmediate(() => {
+      this.#notifyLost(peer.instanceId);
+    });
+  }
+
+  #connectPeer(peer: PeerLink): void {
+    const member = this.#options.getMember(peer.instanceId);
+    if (member === undefined) return;
+    const direction = { kind: 'dialed', instanceId: peer.instanceId } as const;
+    const socket = connectSocket(member.address, member.peerPort, this.#options.tls, () => {
+      connection.startHandshake();
+    });
+    const connection = new Connection(socket, direction, this.#options, this);
+    this.#connections.add(connection);
+    peer.dialing = connection;
+  }
+
+  #checkPeers(): void {
+    const nowMs = performance.now();
+    const lateMs = nowMs - this.#lastCheckMs - CHECK_INTERVAL_MS;
+    this.#lastCheckMs = nowMs;
+    for (const [instanceId, peer] of this.#peers) {
+      // After a pause of this process the answers are still unread, so no link is blamed for silence.
+      if (lateMs > PING_INTERVAL_MS) peer.resetSilence(nowMs);
+      if (peer.active !== undefined) this.#checkActive(peer, peer.active, nowMs);
+      else if (peer.hasConnection) continue;
+      else if (peer.pingRequests > 0) this.#connectPeer(peer);
+      else this.#peers.delete(instanceId);
+    }
+  }
+
+  #checkActive(peer: PeerLink, active: Connection, nowMs: number): void {
+    if (peer.computeSilenceMs(nowMs) >= LINK_SILENCE_MS) {
+      active.close('silent');
+      return;
+    }
+    if (peer.isPingDue(nowMs, PING_INTERVAL_MS)) {
+      peer.sendPing(nowMs);
+      return;
+    }
+    const isIdle = peer.computeIdleMs(nowMs) >= (this.#options.idleMs ?? LINK_IDLE_MS);
+    if (isIdle && peer.pingRequests === 0) active.close('idle');
+  }
+
+  #getPeer(instanceId: string): PeerLink {
+    const known = this.#peers.get(instanceId);
+    if (known !== undefined) return known;
+    const peer = new PeerLink(instanceId, this.#options.maxBufferedBytes ?? MAX_BUFFERED_BYTES);
+    this.#peers.set(instanceId, peer);
+    return peer;
+  }
+
+  #notifyMessage(instanceId: string, message: PeerMessage): void {
+    if (this.#isStopped) return;
+    for (const listener of this.#messageListeners) listener(instanceId, message);
+  }
+
+  #notifyLost(instanceId: string): void {
+    if (this.#isStopped) return;
+    this.#options.metrics.increment('link.lost');
+    for (const listener of this.#lostListeners) listener(instanceId);
+  }
+}
+
+function addListener<L>(listeners: Set<L>, listener: L): Unsubscribe {
+  listeners.add(listener);
+  return () => {
+    listeners.delete(listener);
+  };
+}
--- /dev/null
+++ b/packages/router/src/link/peer-link.ts
@@ -0,0 +1,120 @@
+import { encodeFrame, type PeerMessage } from '@pollendrum/protocol';
+import type { Connection } from './connection';
+import { HANDSHAKE_TIMEOUT_MS } from './connection';
+
+/** Connections that an established one makes superfluous. */
+export interface ReplacedConnections {
+  /** Was in use: messages on it may be lost. */
+  previous: Connection | undefined;
+  /** Never carried a message. */
+  unused: Connection[];
+}
+
+/** State of the link to one instance: its connections, waiting frames and liveness. */
+export class PeerLink {
+  readonly instanceId: string;
+  readonly accepting = new Set<Connection>();
+  active: Connection | undefined;
+  dialing: Connection | undefined;
+  pingRequests = 0;
+  /** First message since the last received one; undefined when nothing is pending. */
+  unansweredSinceMs: number | undefined;
+  readonly #maxBufferedBytes: number;
+  #queue: Buffer[] = [];
+  #queuedBytes = 0;
+  #activeSinceMs = 0;
+  #lastActivityMs = 0;
+  #lastPingMs = -Infinity;
+  #pingSequence = 0;
+
+  constructor(instanceId: string, maxBufferedBytes: number) {
+    this.instanceId = instanceId;
+    this.#maxBufferedBytes = maxBufferedBytes;
+  }
+
+  get hasConnection(): boolean {
+    return this.active !== undefined || this.dialing !== undefined || this.accepting.size > 0;
+  }
+
+  /** Whether this side's own connection attempt runs or has just succeeded. */
+  hasYoungDial(nowMs: number): boolean {
+    if (this.dialing !== undefined) return true;
+    if (this.active?.direction !== 'dialed') return false;
+    return nowMs - this.#activeSinceMs < HANDSHAKE_TIMEOUT_MS;
+  }
+
+  /** Writes the frame, or keeps it until a connection is established. Returns whether the limit is passed. */
+  addFrame(frame: Buffer, nowMs: number): boolean {
+    this.#lastActivityMs = nowMs;
+    if (this.active === undefined) {
+      this.#queue.push(frame);
+      this.#queuedBytes += frame.length;
+      return this.#queuedBytes > this.#maxBufferedBytes;
+    }
+    this.unansweredSinceMs ??= nowMs;
+    this.active.writeFrame(frame);
+    return this.active.bufferedBytes > this.#maxBufferedBytes;
+  }
+
+  /** Drops the waiting frames and returns how many there were. */
+  clearQueue(): number {
+    const count = this.#queue.length;
+    this.#queue = [];
+    this.#queuedBytes = 0;
+    return count;
+  }
+
+  /** Makes the connection the one in use and writes the waiting frames to it. */
+  setActive(connection: Connection, nowMs: number): ReplacedConnections {
+    const previous = this.active;
+    const others = [this.dialing, ...this.accepting];
+    const unused = others.filter((other) => other !== undefined && other !== connection);
+    this.active = connection;
+    this.dialing = undefined;
+    this.accepting.clear();
+    this.#activeSinceMs = nowMs;
+    this.#lastActivityMs = nowMs;
+    this.unansweredSinceMs = this.#queue.length > 0 ? nowMs : undefined;
+    for (const frame of this.#queue) connection.writeFrame(frame);
+    this.clearQueue();
+    return { previous, unused: unused.filter((other) => other !== undefined) };
+  }
+
+  removeConnection(connection: Connection): void {
+    this.accepting.delete(connection);
+    if (this.dialing === connection) this.dialing = undefined;
+    if (this.active !== connection) return;
+    this.active = undefined;
+    this.unansweredSinceMs = undefined;
+  }
+
+  observeReceived(nowMs: number, kind: PeerMessage['kind']): void {
+    this.unansweredSinceMs = undefined;
+    if (kind !== 'pong') this.#lastActivityMs = nowMs;
+  }
+
+  resetSilence(nowMs: number): void {
+    if (this.unansweredSinceMs !== undefined) this.unansweredSinceMs = nowMs;
+  }
+
+  computeSilenceMs(nowMs: number): number {
+    return this.unansweredSinceMs === undefined ? 0 : nowMs - this.unansweredSinceMs;
+  }
+
+  computeIdleMs(nowMs: number): number {
+    return nowMs - this.#lastActivityMs;
+  }
+
+  isPingDue(nowMs: number, intervalMs: number): boolean {
+    const isWanted = this.pingRequests > 0 || this.unansweredSinceMs !== undefined;
+    return isWanted && nowMs - this.#lastPingMs >= intervalMs;
+  }
+
+  sendPing(nowMs: number): void {
+    this.#lastPingMs = nowMs;
+    this.#pingSequence += 1;
+    if (this.pingRequests > 0) this.#lastActivityMs = nowMs;
+    this.unansweredSinceMs ??= nowMs;
+    this.active?.writeFrame(encodeFrame({ kind: 'ping', sequence: this.#pingSequence }));
+  }
+}
--- /dev/null
+++ b/packages/router/test/link/link-fixture.ts
@@ -0,0 +1,98 @@
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import type { PeerMessage } from '@pollendrum/protocol';
+import { createLinkTask, type LinkTask, type LinkTaskOptions } from '../../src/link/index';
+import type { Member } from '../../src/ports';
+
+const SILENT_LOG = {
+  error: () => undefined,
+  warn: () => undefined,
+  info: () => undefined,
+  debug: () => undefined,
+};
+const SILENT_METRICS = {
+  increment: () => undefined,
+  gauge: () => undefined,
+  timing: () => undefined,
+};
+
+export interface TestPeer extends AsyncDisposable {
+  task: LinkTask;
+  received: PeerMessage[];
+  lost: string[];
+}
+
+/** Ports by instance id, shared by the peers of a test in place of a membership view. */
+export type PortTable = Map<string, number>;
+
+export async function startPeer(
+  instanceId: string,
+  ports: PortTable,
+  options: Partial<LinkTaskOptions> = {},
+): Promise<TestPeer> {
+  const task = await createLinkTask({
+    ...{ instanceId, failureDomain: 'd', clusterKey: 'key', address: '127.0.0.1', port: 0 },
+    ...{ log: SILENT_LOG, metrics: SILENT_METRICS },
+    getMember: (id) => buildMember(id, ports.get(id)),
+    ...options,
+  });
+  if (!ports.has(instanceId)) ports.set(instanceId, task.port);
+  const received: PeerMessage[] = [];
+  const lost: string[] = [];
+  task.watchMessages((_from, message) => received.push(message));
+  task.watchLost((id) => lost.push(id));
+  return { task, received, lost, [Symbol.asyncDispose]: () => task[Symbol.asyncDispose]() };
+}
+
+export function buildMember(instanceId: string, peerPort: number | undefined): Member | undefined {
+  if (peerPort === undefined) return undefined;
+  return {
+    ...{ instanceId, address: '127.0.0.1', peerPort, httpPort: 1 },
+    ...{ failureDomain: 'd', region: 'r', state: 'alive' },
+  };
+}
+
+export interface Relay extends AsyncDisposable {
+  port: number;
+  /** Connections accepted so far. */
+  accepted: number;
+  /** Stops reading from both sides of every open connection, without closing it. */
+  pauseOpen(): void;
+}
+
+/** Forwards connections to a port, in pieces of `chunkBytes`. */
+export async function startRelay(targetPort: number, chunkBytes = Infinity): Promise<Relay> {
+  const sockets = new Set<Socket>();
+  const server = createServer((incoming) => {
+    relay.accepted += 1;
+    const outgoing = connect(targetPort, '127.0.0.1');
+    for (const [from, to] of [
+      [incoming, outgoing],
+      [outgoing, incoming],
+    ] as const) {
+      sockets.add(from);
+      from.setNoDelay(true);
+      from.on('data', (bytes: Buffer) => {
+        for (let at = 0; at < bytes.length; at += chunkBytes)
+          to.write(bytes.subarray(at, at + chunkBytes));
+      });
+      from.on('error', () => undefined);
+      from.on('close', () => to.destroy());
+    }
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const relay: Relay = {
+    port: (server.address() as AddressInfo).port,
+    accepted: 0,
+    pauseOpen: () => {
+      for (const socket of sockets) socket.pause();
+    },
+    [Symbol.asyncDispose]: async () => {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+      await once(server, 'close');
+    },
+  };
+  return relay;
+}
--- /dev/null
+++ b/packages/router/test/link/link-task.test.ts
@@ -0,0 +1,154 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
+import { encodeFrame, type PeerMessage } from '@pollendrum/protocol';
+import { describe, expect, test } from 'vitest';
+import { startPeer, startRelay, type PortTable } from './link-fixture';
+
+const WITHDRAW: PeerMessage = { kind: 'withdraw', attemptId: 'a1' };
+const LARGE: PeerMessage = { kind: 'withdraw', attemptId: 'a'.repeat(60_000) };
+
+describe('delivery', () => {
+  // Guards against messages that are lost or joined when TCP splits a frame.
+  test.each([1, 3, 1_000])(
+    'keeps order when the stream is cut every %i bytes',
+    async (chunkBytes) => {
+      const ports: PortTable = new Map();
+      await using b = await startPeer('b', ports);
+      await using relay = await startRelay(b.task.port, chunkBytes);
+      ports.set('b', relay.port);
+      await using a = await startPeer('a', ports);
+      const messages = ['m1', 'm2', 'm3'].map(
+        (attemptId) => ({ ...WITHDRAW, attemptId }) as PeerMessage,
+      );
+      for (const message of messages) expect(a.task.sendMessage('b', message)).toBe(true);
+      await expect.poll(() => b.received).toEqual(messages);
+    },
+  );
+
+  // Guards against a local message that is handled before its sender has returned.
+  test('delivers to the own instance later, in order', async () => {
+    await using a = await startPeer('a', new Map());
+    expect(a.task.sendMessage('a', WITHDRAW)).toBe(true);
+    expect(a.received).toEqual([]);
+    await expect.poll(() => a.received).toEqual([WITHDRAW]);
+  });
+
+  test('refuses an unknown instance', async () => {
+    await using a = await startPeer('a', new Map());
+    expect(a.task.sendMessage('nobody', WITHDRAW)).toBe(false);
+  });
+});
+
+describe('silence', () => {
+  // Guards against requests that wait on a connection whose other side has gone silent.
+  test('replaces the link to a silent peer and reports the loss once', async () => {
+    const ports: PortTable = new Map();
+    await using b = await startPeer('b', ports);
+    await using relay = await startRelay(b.task.port);
+    ports.set('b', relay.port);
+    await using a = await startPeer('a', ports);
+    a.task.requestPings('b');
+    a.task.sendMessage('b', WITHDRAW);
+    await expect.poll(() => b.received.length).toBe(1);
+    await wait(700);
+    relay.pauseOpen();
+    const startMs = performance.now();
+    await expect.poll(() => a.lost, { timeout: 5_000 }).toEqual(['b']);
+    expect(performance.now() - startMs).toBeLessThan(3_000);
+    a.task.sendMessage('b', { kind: 'withdraw', attemptId: 'again' });
+    await expect.poll(() => b.received.length).toBe(2);
+    await wait(600);
+    expect(a.lost).toEqual(['b']);
+    expect(relay.accepted).toBe(2);
+  });
+
+  // Guards against a link that stays open unused, and an idle close that is taken for a crash.
+  test('closes an idle link without reporting a loss', async () => {
+    const ports: PortTable = new Map();
+    await using b = await startPeer('b', ports, { idleMs: 800 });
+    await using a = await startPeer('a', ports, { idleMs: 800 });
+    a.task.sendMessage('b', WITHDRAW);
+    await expect.poll(() => a.task.listLinked()).toEqual(['b']);
+    await expect.poll(() => a.task.listLinked(), { timeout: 4_000 }).toEqual([]);
+    await expect.poll(() => b.task.listLinked()).toEqual([]);
+    expect([...a.lost, ...b.lost]).toEqual([]);
+  });
+
+  // Guards against memory that grows with the messages for a peer that does not read.
+  test('drops a link with too many waiting bytes', async () => {
+    const ports: PortTable = new Map();
+    await using b = await startPeer('b', ports);
+    await using relay = await startRelay(b.task.port);
+    ports.set('b', relay.port);
+    await using a = await startPeer('a', ports, { maxBufferedBytes: 500_000 });
+    a.task.sendMessage('b', WITHDRAW);
+    await expect.poll(() => b.received.length).toBe(1);
+    relay.pauseOpen();
+    for (let count = 0; count < 200; count += 1) a.task.sendMessage('b', LARGE);
+    await expect.poll(() => a.lost, { timeout: 1_000 }).toEqual(['b']);
+  });
+});
+
+describe('authentication', () => {
+  // Guards against messages of a process that has no cluster key or is not a member.
+  test.each([
+    ['another key', { clusterKey: 'other' }, 'c'],
+    ['an unknown instance id', {}, 'stranger'],
+  ])('refuses %s', async (_, options, instanceId) => {
+    const ports: PortTable = new Map();
+    await using b = await startPeer('b', ports);
+    ports.set('c', 1);
+    await using other = await startPeer(instanceId, new Map(ports), options);
+    other.task.sendMessage('b', WITHDRAW);
+    await expect.poll(() => other.lost, { timeout: 4_000 }).toEqual(['b']);
+    expect(b.received).toEqual([]);
+  });
+
+  // Guards against messages that are accepted before the other side has proved who it is.
+  test.each([
+    ['a message first', encodeFrame(WITHDRAW)],
+    [
+      'no proof',
+      encodeFrame({
+        kind: 'hello',
+        instanceId: 'c',
+        protocolVersion: 1,
+        failureDomain: 'd',
+        proof: 'x',
+      }),
+    ],
+    ['an oversized hello', Buffer.concat([Buffer.from([0, 0, 100, 0]), Buffer.alloc(5_000)])],
+  ])('closes a connection with %s', async (_, bytes) => {
+    await using b = await startPeer('b', new Map([['c', 1]]));
+    const socket = connect(b.task.port, '127.0.0.1');
+    socket.write(bytes);
+    socket.resume();
+    await once(socket, 'close', { signal: AbortSignal.timeout(1_000) });
+    expect(b.received).toEqual([]);
+  });
+});
+
+describe('duplicate connections', () => {
+  // Guards against two links between two instances, and against losing what both send at once.
+  test.each([1, 2, 3, 4, 5])(
+    'leave one link when both sides connect at once, round %i',
+    async () => {
+      const ports: PortTable = new Map();
+      await using b = await startPeer('b', ports);
+      await using relayToB = await startRelay(b.task.port);
+      await using a = await startPeer('a', ports);
+      await using relayToA = await startRelay(a.task.port);
+      ports.set('a', relayToA.port).set('b', relayToB.port);
+      a.task.sendMessage('b', WITHDRAW);
+      b.task.sendMessage('a', WITHDRAW);
+      await expect.poll(() => [a.received.length, b.received.length]).toEqual([1, 1]);
+      await wait(300);
+      a.task.sendMessage('b', WITHDRAW);
+      b.task.sendMessage('a', WITHDRAW);
+      await expect.poll(() => [a.received.length, b.received.length]).toEqual([2, 2]);
+      expect([...a.lost, ...b.lost]).toEqual([]);
+      expect([a.task.listLinked(), b.task.listLinked()]).toEqual([['b'], ['a']]);
+    },
+  );
+});
