Add the routing view and its task

Cause: entries and dispatchers need the pools, shards and owners that follow from membership and the list. Ruled out: dropping suspect members from the owners, because most suspicions are refuted and each drop would move shards twice. Change: buildRoutingView places servers and shards through the policy functions it is given; the task recomputes on each change and reads the list at most once per 200 ms. Checked: 7 tests. Conclusion: owners are recomputed in the same turn as the change that moves them.

--- /dev/null
+++ b/packages/router/src/routing/routing-view.ts
@@ -0,0 +1,77 @@
+import type { ListedInstance } from '@pollendrum/protocol';
+import type { Member, RoutingView, ShardRoute } from '../ports';
+
+/** Policy functions that place servers in shards and shards on instances. */
+export interface RoutingPolicy {
+  chooseOwner: (key: string, instanceIds: readonly string[]) => string | undefined;
+  resolveShardCount: (serverCount: number) => number;
+  computeShardIndex: (serverId: string, shardCount: number) => number;
+}
+
+/** Pool of a listed backend server: `model:NAME` or `service:NAME`; undefined for other entries. */
+export function resolvePoolId(instance: ListedInstance): string | undefined {
+  if (instance.pool === undefined) return undefined;
+  switch (instance.role) {
+    case 'engine':
+      return `model:${instance.pool}`;
+    case 'service':
+      return `service:${instance.pool}`;
+    case 'router':
+      return undefined;
+  }
+}
+
+/**
+ * Places each listed backend server in a shard and each shard on an instance. Suspect instances
+ * still own shards, because most suspicions are refuted; leaving ones do not.
+ */
+export function buildRoutingView(
+  members: readonly Member[],
+  servers: readonly ListedInstance[],
+  ownInstanceId: string,
+  policy: RoutingPolicy,
+  version = 1,
+): RoutingView {
+  const ownerIds = listOwnerIds(members, ownInstanceId);
+  const pools = new Map<string, readonly ShardRoute[]>();
+  for (const [poolId, poolServers] of collectPools(servers)) {
+    pools.set(poolId, buildShards(poolId, poolServers, ownerIds, policy));
+  }
+  return { version, pools };
+}
+
+function listOwnerIds(members: readonly Member[], ownInstanceId: string): string[] {
+  const ids = members
+    .filter(({ state }) => state !== 'leaving')
+    .map(({ instanceId }) => instanceId);
+  const isOwnKnown = members.some(({ instanceId }) => instanceId === ownInstanceId);
+  if (!isOwnKnown) ids.push(ownInstanceId);
+  return ids.sort();
+}
+
+function collectPools(servers: readonly ListedInstance[]): Map<string, ListedInstance[]> {
+  const pools = new Map<string, ListedInstance[]>();
+  const sorted = [...servers].sort((a, b) => (a.id < b.id ? -1 : 1));
+  for (const server of sorted) {
+    const poolId = resolvePoolId(server);
+    if (poolId === undefined) continue;
+    const pool = pools.get(poolId) ?? [];
+    pool.push(server);
+    pools.set(poolId, pool);
+  }
+  return pools;
+}
+
+function buildShards(
+  poolId: string,
+  servers: readonly ListedInstance[],
+  ownerIds: readonly string[],
+  policy: RoutingPolicy,
+): ShardRoute[] {
+  const shardCount = policy.resolveShardCount(servers.length);
+  return Array.from({ length: shardCount }, (_, shardIndex) => ({
+    ...{ poolId, shardIndex, shardCount },
+    ownerInstanceId: policy.chooseOwner(`${poolId}/${shardIndex}`, ownerIds),
+    servers: servers.filter(({ id }) => policy.computeShardIndex(id, shardCount) === shardIndex),
+  }));
+}
--- /dev/null
+++ b/packages/router/test/routing/routing.test.ts
@@ -0,0 +1,96 @@
+import type { ListedInstance } from '@pollendrum/protocol';
+import { describe, expect, test } from 'vitest';
+import type { Member, MembershipView } from '../../src/ports';
+import { buildRoutingView, createRoutingTask } from '../../src/routing/index';
+
+const POLICY = {
+  chooseOwner: (_key: string, ids: readonly string[]) => ids[0],
+  resolveShardCount: (count: number) => Math.ceil(count / 2),
+  computeShardIndex: (id: string, count: number) => Number(id.slice(1)) % count,
+};
+const LOG = {
+  error: () => undefined,
+  warn: () => undefined,
+  info: () => undefined,
+  debug: () => undefined,
+};
+
+function buildMember(instanceId: string, state: Member['state'] = 'alive'): Member {
+  return {
+    ...{ instanceId, address: '127.0.0.1', peerPort: 1, httpPort: 2 },
+    ...{ failureDomain: 'd', region: 'r', state },
+  };
+}
+
+function buildServer(
+  id: string,
+  role: ListedInstance['role'] = 'engine',
+  pool?: string,
+): ListedInstance {
+  return {
+    ...{ id, role, address: '127.0.0.1', port: 3 },
+    ...{ failureDomain: 'd', region: 'r', state: 'live', pool },
+  };
+}
+
+describe('owners', () => {
+  // Guards against shards on an instance that is stopping, and against moves at each suspicion.
+  test.each([
+    ['an alive member', [buildMember('a'), buildMember('b')], 'a'],
+    ['a suspect member', [buildMember('a', 'suspect'), buildMember('b')], 'a'],
+    ['no leaving member', [buildMember('a', 'leaving'), buildMember('b')], 'b'],
+    ['this instance when it is alone', [], 'b'],
+    ['nobody when this instance is leaving alone', [buildMember('b', 'leaving')], undefined],
+  ])('are chosen from the members that may own: %s', (_, members, owner) => {
+    const view = buildRoutingView(members, [buildServer('s1', 'engine', 'm')], 'b', POLICY);
+    expect(view.pools.get('model:m')?.[0]?.ownerInstanceId).toBe(owner);
+  });
+});
+
+// Guards against servers in the wrong pool or in no shard.
+test('each server of a pool is in one shard', () => {
+  const servers = [
+    ...['s1', 's2', 's3'].map((id) => buildServer(id, 'engine', 'm')),
+    ...[buildServer('s4', 'service', 'm'), buildServer('s5'), buildServer('s6', 'router', 'm')],
+  ];
+  const { pools } = buildRoutingView([], servers, 'a', POLICY);
+  expect([...pools.keys()]).toEqual(['model:m', 'service:m']);
+  const shards = pools.get('model:m')?.map((shard) => shard.servers.map(({ id }) => id));
+  expect(shards).toEqual([['s2'], ['s1', 's3']]);
+});
+
+// Guards against stale owners after a change, and a storm of list readings during one.
+test('the task follows membership and reads the list at most once per 200 ms', async () => {
+  let nowMs = 0;
+  let reads = 0;
+  let notify: (view: MembershipView) => void = () => undefined;
+  const view = { version: 1, members: [buildMember('a')] };
+  using task = createRoutingTask({
+    ...POLICY,
+    ...{ instanceId: 'b', log: LOG, getNowMs: () => nowMs },
+    membership: {
+      getView: () => view,
+      watchView: (listener) => {
+        notify = listener;
+        return () => undefined;
+      },
+      mergeList: () => undefined,
+    },
+    fetchList: () => {
+      reads += 1;
+      return reads > 1
+        ? Promise.reject(new Error('platform is down'))
+        : Promise.resolve([buildServer('s1', 'engine', 'm')]);
+    },
+  });
+  const getOwner = () => task.getView().pools.get('model:m')?.[0]?.ownerInstanceId;
+  await Promise.all([task.refresh(), task.refresh()]);
+  await task.refresh();
+  expect([reads, getOwner()]).toEqual([1, 'a']);
+  nowMs = 200;
+  await task.refresh();
+  expect([reads, getOwner()]).toEqual([2, 'a']);
+  view.members = [];
+  notify(view);
+  expect(getOwner()).toBe('b');
+});
