Add the dispatcher task

Cause: shards need an instance that keeps their queues, grants slots and notices lost entries and servers. Ruled out: keeping the waiting requests of a lost entry in the scheduler, because a grant for a dead entry blocks a slot for the grace period. Treating an unknown /load path as a dead server, because plain services need not serve it. Change: one scheduler per owned shard, answers that are idempotent by attempt id, a collection time after a takeover, a grace period for lost entries, load polls and one decision run per event-loop turn. The tests found that a shard with news was not decided when its collection ended unless the scheduler asked for a wake; it now is. Conclusion: grants survive repeated messages, a new owner and a lost link without a slot counted twice.

--- /dev/null
+++ b/packages/router/src/dispatcher/dispatcher-task.ts
@@ -0,0 +1,461 @@
+import type { Decision, FinishResult } from '@pollendrum/policy';
+import type { Adopt, Enqueue, Finish, HeldGrant, PeerMessage } from '@pollendrum/protocol';
+import type { CrashReport, Unsubscribe } from '../ports';
+import { AttemptTable, type Attempt } from './attempt-table';
+import {
+  SUMMARY_INTERVAL_MS,
+  type DispatcherTask,
+  type DispatcherTaskOptions,
+} from './dispatcher-options';
+import { EntryLinks } from './entry-links';
+import { LoadPoller } from './load-poller';
+import { buildGrant, buildLostRecord, buildReject, toQueuedRequest } from './messages';
+import type { OwnedShard } from './owned-shard';
+import { ShardSet } from './shard-set';
+
+/** Decides the shards that the routing view assigns to this instance. */
+export function createDispatcherTask(options: DispatcherTaskOptions): DispatcherTask {
+  return new PeerDispatcherTask(options);
+}
+
+class PeerDispatcherTask implements DispatcherTask {
+  readonly #options: DispatcherTaskOptions;
+  readonly #shards: ShardSet;
+  readonly #attempts = new AttemptTable();
+  readonly #links: EntryLinks;
+  readonly #poller: LoadPoller;
+  readonly #suspectFingerprints = new Set<string>();
+  readonly #dirty = new Set<OwnedShard>();
+  readonly #subscriptions: Unsubscribe[];
+  #batch: NodeJS.Immediate | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #isStopped = false;
+
+  constructor(options: DispatcherTaskOptions) {
+    this.#options = options;
+    const { peers, routing, bundles, membership, metrics } = options;
+    this.#links = new EntryLinks(peers, this.#attempts);
+    this.#poller = new LoadPoller({
+      ...{ metrics, intervalMs: options.loadPollMs },
+      listServers: () => this.#shards.listServers(),
+      handleChange: () => {
+        this.#updateServers();
+      },
+    });
+    this.#shards = new ShardSet(options, (serverId) => this.#poller.getLoad(serverId));
+    for (const report of membership.listCrashes()) this.#recordSuspect(report);
+    this.#subscriptions = [
+      peers.watchMessages((instanceId, message) => {
+        this.#handleMessage(instanceId, message);
+      }),
+      peers.watchLost((instanceId) => {
+        this.#handleLost(instanceId);
+      }),
+      routing.watchView(() => {
+        this.#updateShards();
+      }),
+      bundles.watchActive((active) => {
+        this.#shards.updatePolicies(active);
+        this.#markAllDirty();
+      }),
+      membership.watchView(() => {
+        this.#checkEntries();
+      }),
+      membership.watchCrashes((report) => {
+        this.#handleCrash(report);
+      }),
+    ];
+    this.#updateShards();
+  }
+
+  listShards(): string[] {
+    return this.#shards.list().map(({ route }) => `${route.poolId}/${route.shardIndex}`);
+  }
+
+  stop(): void {
+    if (this.#isStopped) return;
+    this.#isStopped = true;
+    for (const shard of this.#shards.list()) this.#releaseShard(shard);
+    this.#links.updatePings();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stop();
+    for (const unsubscribe of this.#subscriptions) unsubscribe();
+    clearImmediate(this.#batch);
+    clearTimeout(this.#timer);
+    await this.#poller[Symbol.asyncDispose]();
+  }
+
+  #getNowMs(): number {
+    return this.#options.getNowMs?.() ?? performance.now();
+  }
+
+  #handleMessage(from: string, message: PeerMessage): void {
+    switch (message.kind) {
+      case 'enqueue':
+        this.#handleEnqueue(from, message);
+        break;
+      case 'withdraw':
+        this.#handleWithdraw(from, message.attemptId);
+        break;
+      case 'adopt':
+        this.#handleAdopt(from, message);
+        break;
+      case 'finish':
+        this.#handleFinish(from, message);
+        break;
+      default:
+        // The other kinds are for the entry and for control on the same link.
+        return;
+    }
+    this.#links.observeMessage(from, this.#getNowMs());
+    this.#links.updatePings();
+  }
+
+  #handleEnqueue(from: string, message: Enqueue): void {
+    const { attemptId, poolId, shardIndex, shardCount } = message;
+    const known = this.#attempts.get(attemptId);
+    if (known !== undefined) {
+      if (known.entryInstanceId === from) this.#handleRepeated(known, message);
+      return;
+    }
+    const ended = this.#attempts.getEnded(attemptId);
+    if (ended !== undefined) {
+      if (ended.kind === 'rejected') this.#options.peers.sendMessage(from, ended.answer);
+      return;
+    }
+    const shard = this.#shards.get(poolId, shardIndex, shardCount);
+    if (shard === undefined) this.#sendNotOwner(from, message);
+    else this.#addWaiting(from, message, shard);
+  }
+
+  #handleRepeated(attempt: Attempt, message: Enqueue): void {
+    this.#links.clearLost(attempt);
+    switch (attempt.state.kind) {
+      case 'waiting':
+        return;
+      case 'suspended':
+        this.#startWaiting(attempt, message);
+        return;
+      case 'granted':
+        if (attempt.state.answer === undefined) return;
+        this.#options.peers.sendMessage(attempt.entryInstanceId, attempt.state.answer);
+    }
+  }
+
+  #addWaiting(entryInstanceId: string, message: Enqueue, shard: OwnedShard): void {
+    const { attemptId, requestId, className, team, fingerprint, bundleNumber } = message;
+    const attempt: Attempt = {
+      ...{ attemptId, requestId, entryInstanceId, shard, className, team, fingerprint },
+      bundleNumber,
+      arrivedAtMs: this.#getNowMs() - message.arrivedAgoMs,
+      state: { kind: 'suspended' },
+      lostAtMs: undefined,
+    };
+    this.#attempts.add(attempt);
+    this.#startWaiting(attempt, message);
+  }
+
+  #startWaiting(attempt: Attempt, message: Enqueue): void {
+    const nowMs = this.#getNowMs();
+    attempt.state = { kind: 'waiting' };
+    attempt.shard.scheduler.enqueue(toQueuedRequest(message, nowMs), nowMs);
+    this.#markDirty(attempt.shard);
+  }
+
+  #sendNotOwner(from: string, { attemptId, poolId, shardIndex }: Enqueue): void {
+    const { version, pools } = this.#options.routing.getView();
+    const routes = pools.get(poolId) ?? [];
+    const ownerInstanceId = routes[shardIndex]?.ownerInstanceId ?? '';
+    if (this.#isStopped && ownerInstanceId === this.#options.instanceId) {
+      this.#sendMoved(from, attemptId);
+      return;
+    }
+    this.#options.peers.sendMessage(from, {
+      ...{ kind: 'not-owner', attemptId, ownerInstanceId },
+      ...{ shardCount: routes.length, membershipVersion: version },
+    });
+  }
+
+  #sendMoved(entryInstanceId: string, attemptId: string): void {
+    this.#options.peers.sendMessage(entryInstanceId, { kind: 'moved', attemptId });
+  }
+
+  #handleWithdraw(from: string, attemptId: string): void {
+    const attempt = this.#attempts.get(attemptId);
+    if (attempt?.entryInstanceId !== from) return;
+    this.#releaseAttempt(attempt, 'not-sent');
+    this.#attempts.recordEnd(attemptId, { kind: 'finished' });
+  }
+
+  #handleAdopt(from: string, message: Adopt): void {
+    for (const grant of message.grants) this.#adoptGrant(from, grant);
+  }
+
+  #adoptGrant(from: string, grant: HeldGrant): void {
+    const { attemptId, requestId, serverId, className, team, fingerprint } = grant;
+    if (this.#attempts.getEnded(attemptId) !== undefined) return;
+    const known = this.#attempts.get(attemptId);
+    if (known !== undefined && known.entryInstanceId !== from) return;
+    if (known?.state.kind === 'granted') {
+      this.#links.clearLost(known);
+      return;
+    }
+    // The sender may assume another shard count; the server shows where the slot counts now.
+    const shard = this.#shards.findOfServer(grant.poolId, serverId);
+    if (shard === undefined) return;
+    if (known !== undefined) this.#removeAttempt(known, 'not-sent');
+    const grantedAtMs = this.#getNowMs() - grant.heldForMs;
+    shard.scheduler.adopt({ attemptId, serverId, className, team, fingerprint, grantedAtMs });
+    this.#attempts.add({
+      ...{ attemptId, requestId, entryInstanceId: from, shard, className, team, fingerprint },
+      bundleNumber: this.#options.bundles.getActive()?.bundle.number ?? 0,
+      arrivedAtMs: grantedAtMs,
+      state: { kind: 'granted', serverId, answer: undefined },
+      lostAtMs: undefined,
+    });
+    this.#markDirty(shard);
+  }
+
+  #handleFinish(from: string, message: Finish): void {
+    const { attemptId, result, fingerprint, serverId } = message;
+    const attempt = this.#attempts.get(attemptId);
+    if (attempt !== undefined && attempt.entryInstanceId !== from) return;
+    if (attempt !== undefined) {
+      const { firstTokenMs, meanGapMs, outputTokens } = message;
+      this.#releaseAttempt(attempt, result, { firstTokenMs, meanGapMs, outputTokens });
+    }
+    this.#attempts.recordEnd(attemptId, { kind: 'finished' });
+    // What the entry saw of the server counts even when this dispatcher did not make the grant.
+    if (result === 'server-crashed') this.#options.membership.publishCrash(fingerprint, serverId);
+    if (result === 'server-draining') this.#poller.markDraining(serverId);
+    if (result === 'completed' && this.#suspectFingerprints.has(fingerprint)) {
+      this.#options.membership.publishCrashCleared(fingerprint);
+    }
+  }
+
+  /** Takes the attempt out of its scheduler. */
+  #releaseAttempt(
+    attempt: Attempt,
+    result: FinishResult,
+    measured: { firstTokenMs?: number; meanGapMs?: number; outputTokens?: number } = {},
+  ): void {
+    const { attemptId, shard, state } = attempt;
+    this.#links.clearLost(attempt);
+    switch (state.kind) {
+      case 'waiting':
+        shard.scheduler.withdraw(attemptId);
+        break;
+      case 'suspended':
+        return;
+      case 'granted':
+        shard.scheduler.finish({ attemptId, result, ...measured }, this.#getNowMs());
+    }
+    this.#markDirty(shard);
+  }
+
+  #removeAttempt(attempt: Attempt, result: FinishResult): void {
+    this.#releaseAttempt(attempt, result);
+    this.#attempts.remove(attempt);
+  }
+
+  #handleLost(instanceId: string): void {
+    const lost = this.#links.markLost(instanceId, this.#getNowMs());
+    for (const attempt of lost) {
+      if (attempt.state.kind !== 'waiting') continue;
+      // A grant for an entry that may be dead would block a slot until the grace period ends.
+      attempt.shard.scheduler.withdraw(attempt.attemptId);
+      attempt.state = { kind: 'suspended' };
+    }
+    if (lost.length > 0) this.#scheduleBatch();
+  }
+
+  /** An entry that membership has removed closes no link when its machine is gone. */
+  #checkEntries(): void {
+    const { members } = this.#options.membership.getView();
+    const known = new Set(members.map(({ instanceId }) => instanceId));
+    known.add(this.#options.instanceId);
+    for (const entryInstanceId of this.#attempts.listEntries()) {
+      if (!known.has(entryInstanceId)) this.#handleLost(entryInstanceId);
+    }
+  }
+
+  #expireLost(): void {
+    const nowMs = this.#getNowMs();
+    for (const { attempt, isEntryDead } of this.#links.takeExpired(nowMs)) {
+      if (isEntryDead) this.#recordLost(attempt, nowMs);
+      this.#removeAttempt(attempt, 'cancelled');
+    }
+  }
+
+  #recordLost(attempt: Attempt, nowMs: number): void {
+    const { instanceId, bundles, recordOutcome } = this.#options;
+    const tier = bundles.getActive()?.classesByName.get(attempt.className)?.tier ?? 0;
+    recordOutcome(buildLostRecord(attempt, instanceId, tier, nowMs));
+  }
+
+  #recordSuspect(report: CrashReport): void {
+    if (report.kind === 'crash') this.#suspectFingerprints.add(report.fingerprint);
+    else this.#suspectFingerprints.delete(report.fingerprint);
+  }
+
+  #handleCrash(report: CrashReport): void {
+    this.#recordSuspect(report);
+    this.#shards.observeReport(report, this.#getNowMs());
+    this.#markAllDirty();
+  }
+
+  /** Takes over new shards, gives up lost ones and updates the servers of the others. */
+  #updateShards(): void {
+    if (this.#isStopped) return;
+    const nowMs = this.#getNowMs();
+    const { released, added } = this.#shards.diffRoutes();
+    const granted = released.flatMap((shard) => this.#releaseShard(shard));
+    for (const route of added) this.#shards.create(route, nowMs);
+    this.#updateServers();
+    for (const attempt of granted) this.#adoptMoved(attempt, nowMs);
+    this.#links.updatePings();
+  }
+
+  /** Keeps counting a grant whose server is in another shard of this instance after a new shard count. */
+  #adoptMoved(attempt: Attempt, nowMs: number): void {
+    if (attempt.state.kind !== 'granted') return;
+    const { attemptId, className, team, fingerprint, state } = attempt;
+    const shard = this.#shards.findOfServer(attempt.shard.route.poolId, state.serverId);
+    if (shard === undefined) return;
+    const { serverId } = state;
+    const grantedAtMs = nowMs;
+    shard.scheduler.adopt({ attemptId, serverId, className, team, fingerprint, grantedAtMs });
+    attempt.shard = shard;
+    this.#attempts.add(attempt);
+  }
+
+  /**
+   * Answers waiting requests with `moved` and returns the attempts that held a grant. The entries
+   * announce both to the next owner.
+   */
+  #releaseShard(shard: OwnedShard): Attempt[] {
+    this.#shards.remove(shard);
+    this.#dirty.delete(shard);
+    const granted: Attempt[] = [];
+    for (const attempt of this.#attempts.list()) {
+      if (attempt.shard !== shard) continue;
+      this.#attempts.remove(attempt);
+      if (attempt.state.kind === 'granted') granted.push(attempt);
+      else this.#sendMoved(attempt.entryInstanceId, attempt.attemptId);
+    }
+    return granted;
+  }
+
+  #updateServers(): void {
+    this.#shards.updateServers(this.#getNowMs());
+    this.#markAllDirty();
+  }
+
+  #markDirty(shard: OwnedShard): void {
+    // An attempt may outlive its shard for the rest of a turn.
+    if (!this.#shards.has(shard)) return;
+    this.#dirty.add(shard);
+    this.#scheduleBatch();
+  }
+
+  #markAllDirty(): void {
+    for (const shard of this.#shards.list()) this.#markDirty(shard);
+  }
+
+  /** Decisions run once per event-loop turn, however many messages arrived in it. */
+  #scheduleBatch(): void {
+    if (this.#isStopped) return;
+    this.#batch ??= setImmediate(() => {
+      this.#batch = undefined;
+      this.#runBatch();
+    });
+  }
+
+  #runBatch(): void {
+    if (this.#isStopped) return;
+    this.#expireLost();
+    const nowMs = this.#getNowMs();
+    for (const shard of this.#shards.list()) {
+      const isDue = this.#dirty.has(shard) || this.#getShardWakeMs(shard) <= nowMs;
+      if (!isDue || nowMs < shard.collectUntilMs) continue;
+      this.#dirty.delete(shard);
+      for (const decision of shard.scheduler.takeDecisions(nowMs)) {
+        this.#applyDecision(shard, decision, nowMs);
+      }
+    }
+    this.#links.updatePings();
+    this.#scheduleWake(nowMs);
+  }
+
+  #scheduleWake(nowMs: number): void {
+    clearTimeout(this.#timer);
+    let wakeMs = this.#links.getNextWakeMs();
+    for (const shard of this.#shards.list()) wakeMs = Math.min(wakeMs, this.#getShardWakeMs(shard));
+    if (wakeMs === Infinity) return;
+    this.#timer = setTimeout(
+      () => {
+        this.#scheduleBatch();
+      },
+      Math.max(1, Math.ceil(wakeMs - nowMs)),
+    );
+  }
+
+  #applyDecision(shard: OwnedShard, decision: Decision, nowMs: number): void {
+    const attempt = this.#attempts.get(decision.attemptId);
+    if (attempt === undefined) {
+      this.#options.log.error('scheduler decided an unknown attempt', {
+        attemptId: decision.attemptId,
+      });
+      return;
+    }
+    const { entryInstanceId } = attempt;
+    switch (decision.kind) {
+      case 'grant':
+        this.#sendGrant(shard, attempt, decision);
+        break;
+      case 'shed': {
+        const answer = buildReject(decision);
+        this.#attempts.recordEnd(attempt.attemptId, { kind: 'rejected', answer });
+        this.#options.peers.sendMessage(entryInstanceId, answer);
+      }
+    }
+    this.#sendSummary(shard, entryInstanceId, nowMs);
+  }
+
+  #sendGrant(
+    shard: OwnedShard,
+    attempt: Attempt,
+    decision: Extract<Decision, { kind: 'grant' }>,
+  ): void {
+    const { serverId } = decision;
+    const server = shard.route.servers.find(({ id }) => id === serverId);
+    if (server === undefined) {
+      this.#options.log.error('scheduler granted a server that is not in the shard', { serverId });
+      this.#removeAttempt(attempt, 'not-sent');
+      this.#sendMoved(attempt.entryInstanceId, attempt.attemptId);
+      return;
+    }
+    const answer = buildGrant(decision, server);
+    attempt.state = { kind: 'granted', serverId, answer };
+    const isSent = this.#options.peers.sendMessage(attempt.entryInstanceId, answer);
+    if (!isSent) this.#handleLost(attempt.entryInstanceId);
+  }
+
+  #sendSummary(shard: OwnedShard, entryInstanceId: string, nowMs: number): void {
+    const sentMs = shard.summarySentMs.get(entryInstanceId) ?? -Infinity;
+    if (nowMs - sentMs < SUMMARY_INTERVAL_MS) return;
+    shard.summarySentMs.set(entryInstanceId, nowMs);
+    const { poolId, shardIndex } = shard.route;
+    const summary = shard.scheduler.summarize(nowMs);
+    const message = { kind: 'shard-summary', poolId, shardIndex, ...summary } as const;
+    this.#options.peers.sendMessage(entryInstanceId, message);
+  }
+
+  /** A shard with news is decided as soon as its collection ends. */
+  #getShardWakeMs(shard: OwnedShard): number {
+    if (this.#dirty.has(shard)) return shard.collectUntilMs;
+    return Math.max(shard.collectUntilMs, shard.scheduler.getNextWakeMs());
+  }
+}
--- /dev/null
+++ b/packages/router/src/dispatcher/index.ts
@@ -0,0 +1,6 @@
+export { createDispatcherTask } from './dispatcher-task';
+export type {
+  DispatcherTask,
+  DispatcherTaskOptions,
+  ShardSchedulerOptions,
+} from './dispatcher-options';
--- /dev/null
+++ b/packages/router/test/dispatcher/load-poll.test.ts
@@ -0,0 +1,104 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
+import { afterEach, describe, expect, test } from 'vitest';
+import { buildEnqueue, buildServer, DispatcherFixture } from './dispatcher-fixture';
+
+const servers: Server[] = [];
+afterEach(() => {
+  for (const server of servers.splice(0)) {
+    server.closeAllConnections();
+    server.close();
+  }
+});
+
+type Answer = (response: ServerResponse, request: IncomingMessage) => void;
+
+async function startBackend(answer: Answer): Promise<number> {
+  const server = createServer((request, response) => {
+    answer(response, request);
+  });
+  servers.push(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return (server.address() as AddressInfo).port;
+}
+
+const sendLoad =
+  (load: unknown): Answer =>
+  (response) =>
+    response.end(JSON.stringify(load));
+const LIVE = { draining: false, slots: 4 };
+
+describe('load polls', () => {
+  // Guards against new work for a server that is about to stop.
+  test.each<[string, Answer]>([
+    ['reports draining', sendLoad({ ...LIVE, draining: true })],
+    [
+      'refuses with X-Draining',
+      (response) => response.writeHead(503, { 'x-draining': 'true' }).end(),
+    ],
+    ['closes every connection', (response) => response.destroy()],
+  ])('give no grant to a server that %s', async (_, answer) => {
+    const port = await startBackend(answer);
+    await using fixture = new DispatcherFixture([buildServer('s1', 4, port)], 'd', 100);
+    await expect.poll(() => fixture.scheduler.servers[0]?.isLeaving, { timeout: 3_000 }).toBe(true);
+    fixture.send('e1', buildEnqueue('a1'));
+    await wait(400);
+    expect(fixture.listAnswers('a1')).toEqual([]);
+  });
+
+  // Guards against a server that stays out of use after it recovered, or because it has no /load.
+  test.each<[string, Answer, number]>([
+    ['fewer slots', sendLoad({ ...LIVE, slots: 2 }), 2],
+    ['more slots than listed', sendLoad({ ...LIVE, slots: 9 }), 4],
+    ['no /load', (response) => response.writeHead(404).end(), 4],
+  ])('keep a server with %s in use', async (_, answer, slots) => {
+    let isUp = false;
+    const port = await startBackend((response, request) => {
+      if (isUp) answer(response, request);
+      else response.destroy();
+    });
+    await using fixture = new DispatcherFixture([buildServer('s1', 4, port)], 'd', 50);
+    await expect.poll(() => fixture.scheduler.servers[0]?.isLeaving).toBe(true);
+    isUp = true;
+    await expect
+      .poll(() => fixture.scheduler.servers[0])
+      .toMatchObject({ isLeaving: false, slots });
+  });
+
+  // Guards against a drain signal of the request path that an older poll answer overwrites.
+  test('do not overwrite a newer refusal', async () => {
+    let finish: () => void = () => undefined;
+    const port = await startBackend((response) => {
+      finish = () => response.end(JSON.stringify(LIVE));
+    });
+    await using fixture = new DispatcherFixture([buildServer('s1', 4, port)], 'd', 50);
+    await wait(200);
+    fixture.send('e1', {
+      ...{ kind: 'finish', attemptId: 'a1', poolId: 'model:m', shardIndex: 0, serverId: 's1' },
+      ...{ fingerprint: 'f', result: 'server-draining' },
+    });
+    finish();
+    await wait(30);
+    expect(fixture.scheduler.servers[0]?.isLeaving).toBe(true);
+  });
+
+  // Guards against polls that pile up at a server which does not answer.
+  test('never run twice at once for one server and end after 800 ms', async () => {
+    let open = 0;
+    let highest = 0;
+    let started = 0;
+    const port = await startBackend((response) => {
+      started += 1;
+      open += 1;
+      highest = Math.max(highest, open);
+      response.on('close', () => (open -= 1));
+    });
+    await using fixture = new DispatcherFixture([buildServer('s1', 4, port)], 'd', 50);
+    await wait(1_900);
+    expect(fixture.task.listShards()).toEqual(['model:m/0']);
+    expect([highest, started]).toEqual([1, 3]);
+  });
+});
--- a/packages/router/test/membership/membership-state.test.ts
+++ b/packages/router/test/membership/membership-state.test.ts
@@ -147,6 +147,18 @@
 });
 
 describe('cost', () => {
+  // Guards against datagrams over the limit while many updates wait after a large failure.
+  test('keeps datagrams within 400 bytes when half of the members fail at once', () => {
+    const fleet = new SimulatedFleet({ size: 40, seed: 15 });
+    fleet.run(2_000);
+    for (const node of fleet.nodes.slice(0, 20)) node.isUp = false;
+    const isDone = () =>
+      fleet.nodes.slice(0, 20).every(({ id }) => fleet.findObservers(id, ['absent']).length === 20);
+    expect(fleet.run(60_000, isDone)).toBe(true);
+    expect(fleet.largestDatagramBytes).toBeGreaterThan(MAX_DATAGRAM_BYTES - 100);
+    expect(fleet.largestDatagramBytes).toBeLessThanOrEqual(MAX_DATAGRAM_BYTES);
+  });
+
   // Guards against datagrams that grow and a cost that rises with the fleet beyond 2 KB/s.
   test.each([50, 530])(
     'stays under 2 KB/s for each of %i members and datagrams within 400 bytes',
