Add the engine client, stream relay, service client and grant client

An entry needs grants from dispatchers and a relay towards engines before any request can be served.

--- /dev/null
+++ b/packages/router/src/backend/engine-client.ts
@@ -0,0 +1,120 @@
+import type { Readable } from 'node:stream';
+import { BackendCallError, toBackendCallError } from './backend-errors';
+import type { ServerAddress, ServerPools } from './server-pools';
+
+/** Answer of an engine to a streaming request. */
+export interface EngineResponse {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: Readable & { dump(): Promise<void>; text(): Promise<string> };
+}
+
+/** State of a stream as its engine reports it. */
+export type StreamStatus =
+  | { kind: 'known'; offset: number; done: boolean }
+  | { kind: 'unknown-stream' }
+  | { kind: 'unreachable' };
+
+const CHECK_TIMEOUT_MS = 1_000;
+const CHECK_TRIES = 2;
+const CANCEL_TIMEOUT_MS = 2_000;
+
+/** Calls of the engine protocol. */
+export class EngineClient {
+  constructor(readonly pools: ServerPools) {}
+
+  /** Starts an attempt. Throws BackendCallError when no response headers arrive. */
+  async openStream(
+    server: ServerAddress,
+    attemptId: string,
+    body: string,
+    headers: Record<string, string>,
+    signal: AbortSignal,
+  ): Promise<EngineResponse> {
+    try {
+      const response = await this.pools.getPool(server).request({
+        method: 'POST',
+        path: '/v1/chat/completions',
+        headers: { ...headers, 'content-type': 'application/json', 'x-request-id': attemptId },
+        body,
+        signal,
+      });
+      return { status: response.statusCode, headers: response.headers, body: response.body };
+    } catch (error) {
+      throw toBackendCallError(error);
+    }
+  }
+
+  /** Resumes an attempt after an offset, on a fresh connection. Throws BackendCallError. */
+  async resumeStream(
+    server: ServerAddress,
+    attemptId: string,
+    lastOffset: number | undefined,
+    signal: AbortSignal,
+  ): Promise<EngineResponse> {
+    const client = this.pools.createFreshClient(server);
+    try {
+      const lastEventId =
+        lastOffset === undefined ? {} : { 'last-event-id': `${attemptId}:${lastOffset}` };
+      const response = await client.request({
+        method: 'GET',
+        path: `/v1/streams/${encodeURIComponent(attemptId)}`,
+        headers: lastEventId,
+        signal,
+      });
+      if (response.statusCode !== 200) {
+        await response.body.dump();
+        throw new BackendCallError(true, new Error(`resume refused: ${response.statusCode}`));
+      }
+      response.body.once('close', () => void client.destroy());
+      return { status: response.statusCode, headers: response.headers, body: response.body };
+    } catch (error) {
+      void client.destroy();
+      throw toBackendCallError(error);
+    }
+  }
+
+  /** Asks for the state of a stream on a fresh connection, twice at most, 1 s each. Never throws. */
+  async checkStream(server: ServerAddress, attemptId: string): Promise<StreamStatus> {
+    for (let attempt = 0; attempt < CHECK_TRIES; attempt += 1) {
+      const status = await this.#checkOnce(server, attemptId);
+      if (status.kind !== 'unreachable') return status;
+    }
+    return { kind: 'unreachable' };
+  }
+
+  async #checkOnce(server: ServerAddress, attemptId: string): Promise<StreamStatus> {
+    const client = this.pools.createFreshClient(server);
+    try {
+      const response = await client.request({
+        method: 'GET',
+        path: `/v1/streams/${encodeURIComponent(attemptId)}/status`,
+        signal: AbortSignal.timeout(CHECK_TIMEOUT_MS),
+      });
+      if (response.statusCode !== 200) {
+        await response.body.dump();
+        return { kind: 'unknown-stream' };
+      }
+      const status = (await response.body.json()) as { offset: number; done: boolean };
+      return { kind: 'known', offset: status.offset, done: status.done };
+    } catch {
+      return { kind: 'unreachable' };
+    } finally {
+      void client.destroy();
+    }
+  }
+
+  /** Cancels an attempt. Never throws; a server that is gone generates nothing. */
+  async cancelStream(server: ServerAddress, attemptId: string): Promise<void> {
+    try {
+      const response = await this.pools.getPool(server).request({
+        method: 'DELETE',
+        path: `/v1/streams/${encodeURIComponent(attemptId)}`,
+        signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
+      });
+      await response.body.dump();
+    } catch {
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/backend/index.ts
@@ -0,0 +1,10 @@
+export { BackendCallError } from './backend-errors';
+export { EngineClient } from './engine-client';
+export type { EngineResponse, StreamStatus } from './engine-client';
+export { checkServer, ServerPools } from './server-pools';
+export type { ServerAddress } from './server-pools';
+export { ServiceClient } from './service-client';
+export type { ServiceCall, ServiceResponse } from './service-client';
+export { streamAttempt } from './stream-relay';
+export type { AttemptResult, ChunkSink, RelayOptions } from './stream-relay';
+export { TokenMeter } from './token-meter';
--- /dev/null
+++ b/packages/router/src/entry/owner-links.ts
@@ -0,0 +1,36 @@
+import type { PeerPort, Unsubscribe } from '../ports';
+
+interface LinkUse {
+  users: number;
+  stopPings: Unsubscribe;
+}
+
+/** Keeps the link to a dispatcher pinged while something is pending at it. */
+export class OwnerLinks implements Disposable {
+  readonly #uses = new Map<string, LinkUse>();
+
+  constructor(readonly peers: PeerPort) {}
+
+  add(ownerId: string): void {
+    const use = this.#uses.get(ownerId);
+    if (use !== undefined) {
+      use.users += 1;
+      return;
+    }
+    this.#uses.set(ownerId, { users: 1, stopPings: this.peers.requestPings(ownerId) });
+  }
+
+  release(ownerId: string): void {
+    const use = this.#uses.get(ownerId);
+    if (use === undefined) return;
+    use.users -= 1;
+    if (use.users > 0) return;
+    use.stopPings();
+    this.#uses.delete(ownerId);
+  }
+
+  [Symbol.dispose](): void {
+    for (const use of this.#uses.values()) use.stopPings();
+    this.#uses.clear();
+  }
+}
--- /dev/null
+++ b/packages/router/src/entry/request-state.ts
@@ -0,0 +1,189 @@
+import type {
+  Cause,
+  HopTiming,
+  OutcomeKind,
+  OutcomeRecord,
+  ServiceClass,
+} from '@pollendrum/protocol';
+import type { OutcomePort } from '../ports';
+import { TokenMeter } from '../backend/token-meter';
+
+/** State of one request in its entry. */
+export type RequestState =
+  | { kind: 'received' }
+  | { kind: 'queued' }
+  | { kind: 'granted'; serverId: string }
+  | { kind: 'claimed'; serverId: string }
+  | { kind: 'sent'; serverId: string }
+  | { kind: 'streaming'; serverId: string }
+  | { kind: 'ended'; outcome: OutcomeKind };
+
+type StateKind = RequestState['kind'];
+
+// A void grant leads back to the queue; a further attempt leads back from sent or streaming.
+const NEXT_STATES: Record<StateKind, readonly StateKind[]> = {
+  received: ['queued', 'ended'],
+  queued: ['granted', 'ended'],
+  granted: ['claimed', 'sent', 'queued', 'ended'],
+  claimed: ['sent', 'queued', 'ended'],
+  sent: ['streaming', 'queued', 'ended'],
+  streaming: ['queued', 'ended'],
+  ended: [],
+};
+
+/** A change of state that the request lifecycle does not allow. */
+export class StateError extends Error {
+  override readonly name = 'StateError';
+}
+
+/** How a request ended. */
+export interface RequestEnd {
+  outcome: OutcomeKind;
+  /** HTTP status given to the caller, 0 if none. */
+  status: number;
+  cause?: Cause;
+}
+
+/** Known once the request has been routed. */
+export interface RequestRoute {
+  serviceClass: ServiceClass;
+  team: string;
+  target: string;
+  /** Plain services are judged by their whole answer, models by tokens. */
+  isModel: boolean;
+}
+
+export interface LifecycleOptions {
+  requestId: string;
+  instanceId: string;
+  bundleNumber: number;
+  outcomes: Pick<OutcomePort, 'recordOutcome'>;
+}
+
+/** Follows one request from arrival to exactly one outcome and one record. */
+export class RequestLifecycle {
+  readonly startedAtMs = performance.now();
+  readonly meter = new TokenMeter(this.startedAtMs);
+  readonly #receivedAtMs = Date.now();
+  readonly #hops: HopTiming[] = [];
+  readonly #serverIds: string[] = [];
+  #state: RequestState = { kind: 'received' };
+  #route: RequestRoute | undefined;
+  #record: OutcomeRecord | undefined;
+  #attemptId = '';
+
+  constructor(readonly options: LifecycleOptions) {}
+
+  get requestId(): string {
+    return this.options.requestId;
+  }
+
+  getState(): RequestState {
+    return this.#state;
+  }
+
+  getRecord(): OutcomeRecord | undefined {
+    return this.#record;
+  }
+
+  setRoute(route: RequestRoute): void {
+    this.#route = route;
+  }
+
+  /** Remembers the attempt that a cause of lateness names. */
+  setAttempt(attemptId: string, serverId: string): void {
+    this.#attemptId = attemptId;
+    this.#serverIds.push(serverId);
+  }
+
+  recordHop(hop: HopTiming['hop'], startedAtMs: number, detail?: string): void {
+    const elapsedMs = Math.max(0, performance.now() - startedAtMs);
+    this.#hops.push({ hop, elapsedMs, ...(detail === undefined ? {} : { detail }) });
+  }
+
+  /** Moves to another state; throws StateError when the lifecycle does not allow it. */
+  setState(next: Exclude<RequestState, { kind: 'ended' }>): void {
+    if (!NEXT_STATES[this.#state.kind].includes(next.kind)) {
+      throw new StateError(`request cannot go from ${this.#state.kind} to ${next.kind}`);
+    }
+    this.#state = next;
+  }
+
+  /** Ends the request and records it; false when it had already ended. */
+  endRequest(end: RequestEnd): boolean {
+    if (this.#state.kind === 'ended') return false;
+    this.#state = { kind: 'ended', outcome: end.outcome };
+    this.#record = this.#buildRecord(end);
+    this.options.outcomes.recordOutcome(this.#record);
+    return true;
+  }
+
+  #buildRecord(end: RequestEnd): OutcomeRecord {
+    const totalMs = performance.now() - this.startedAtMs;
+    const onTime = end.outcome === 'answered' && this.#isOnTime(totalMs);
+    const isLate = end.outcome === 'answered' && !onTime && this.#route !== undefined;
+    const cause = end.cause ?? (isLate ? this.#computeLateCause(totalMs) : undefined);
+    const { meter } = this;
+    const meanGapMs = meter.getMeanGapMs();
+    return {
+      requestId: this.requestId,
+      entryInstanceId: this.options.instanceId,
+      recordedBy: this.options.instanceId,
+      receivedAtMs: this.#receivedAtMs,
+      className: this.#route?.serviceClass.name ?? '',
+      tier: this.#route?.serviceClass.tier ?? 0,
+      team: this.#route?.team ?? '',
+      target: this.#route?.target ?? '',
+      bundleNumber: this.options.bundleNumber,
+      outcome: end.outcome,
+      status: end.status,
+      onTime,
+      ...(cause === undefined ? {} : { cause }),
+      hops: this.#hops,
+      serverIds: this.#serverIds,
+      ...(meter.firstTokenMs === undefined ? {} : { firstTokenMs: meter.firstTokenMs }),
+      ...(meanGapMs === undefined ? {} : { longestGapMs: meter.longestGapMs, meanGapMs }),
+      totalMs,
+      outputTokens: meter.tokens,
+      wastedTokens: end.outcome === 'answered' ? 0 : meter.tokens,
+    };
+  }
+
+  #isOnTime(totalMs: number): boolean {
+    if (this.#route === undefined) return false;
+    const { serviceClass, isModel } = this.#route;
+    const firstMs = isModel ? (this.meter.firstTokenMs ?? totalMs) : totalMs;
+    if (firstMs > serviceClass.targetFirstByteMs || totalMs > serviceClass.maxTotalMs) return false;
+    const targetGapMs = serviceClass.targetTokenGapMs;
+    return targetGapMs === undefined || (this.meter.getMeanGapMs() ?? 0) <= targetGapMs;
+  }
+
+  // The hop that took longest up to the first byte explains a late answer.
+  #computeLateCause(totalMs: number): Cause {
+    const queuedMs = this.#computeHopMs('queue');
+    const claimMs = this.#computeHopMs('claim');
+    const servedMs = totalMs - queuedMs - claimMs;
+    const firstMs = this.meter.firstTokenMs ?? totalMs;
+    const isFirstLate = firstMs > (this.#route?.serviceClass.targetFirstByteMs ?? 0);
+    const serverMs = isFirstLate ? firstMs - queuedMs - claimMs : servedMs;
+    if (isFirstLate && queuedMs >= Math.max(claimMs, serverMs)) {
+      return { kind: 'queue-timeout', waitedMs: queuedMs, usedSlotsByClass: {} };
+    }
+    if (isFirstLate && claimMs > serverMs) {
+      return { kind: 'platform-unavailable', operation: 'claim', elapsedMs: claimMs };
+    }
+    return {
+      kind: 'server-slow',
+      serverId: this.#serverIds.at(-1) ?? '',
+      attemptId: this.#attemptId,
+      firstTokenMs: firstMs,
+      longestGapMs: this.meter.longestGapMs,
+    };
+  }
+
+  #computeHopMs(hop: HopTiming['hop']): number {
+    return this.#hops
+      .filter((timing) => timing.hop === hop)
+      .reduce((sum, timing) => sum + timing.elapsedMs, 0);
+  }
+}
