Add the HTTP entry, plain service calls, telemetry and the instance

Callers need one place that owns a request until its single outcome.

The lifecycle is a state machine that records one outcome; grants come before claims, claims before sending.

--- /dev/null
+++ b/packages/router/src/entry/body-reader.ts
@@ -0,0 +1,63 @@
+import type { RequestContext } from './request-context';
+import { RequestError } from './request-context';
+
+/**
+ * Reads a request body. Throws RequestError when it is larger than the limit or when the caller sends
+ * nothing for the idle timeout.
+ */
+export async function readBody(context: RequestContext): Promise<Buffer> {
+  const { request, limits } = context;
+  const declaredBytes = Number(request.headers['content-length'] ?? 0);
+  if (declaredBytes > limits.maxBodyBytes) throw createTooLarge(limits.maxBodyBytes);
+  return await new Promise<Buffer>((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const timer = setTimeout(() => {
+      context.stopCaller('caller-slow');
+      settle(() => {
+        reject(createCancelled(context));
+      });
+    }, limits.callerIdleTimeoutMs);
+    const settle = (report: () => void) => {
+      clearTimeout(timer);
+      request.off('data', handleData);
+      request.off('end', handleEnd);
+      request.off('close', handleClose);
+      report();
+    };
+    const handleData = (chunk: Buffer) => {
+      timer.refresh();
+      size += chunk.length;
+      if (size <= limits.maxBodyBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      settle(() => {
+        reject(createTooLarge(limits.maxBodyBytes));
+      });
+    };
+    const handleEnd = () => {
+      settle(() => {
+        resolve(Buffer.concat(chunks, size));
+      });
+    };
+    const handleClose = () => {
+      settle(() => {
+        reject(createCancelled(context));
+      });
+    };
+    request.on('data', handleData);
+    request.on('end', handleEnd);
+    request.on('close', handleClose);
+    request.on('error', () => undefined);
+  });
+}
+
+function createTooLarge(limitBytes: number): RequestError {
+  return new RequestError('not-run', { kind: 'body-too-large', limitBytes });
+}
+
+function createCancelled(context: RequestContext): RequestError {
+  const stalledMs = context.limits.callerIdleTimeoutMs;
+  return new RequestError('cancelled', context.buildCallerCause(stalledMs));
+}
--- /dev/null
+++ b/packages/router/src/entry/chat-flow.ts
@@ -0,0 +1,298 @@
+import type { Cause, Finish } from '@pollendrum/protocol';
+import { buildWholeAnswer, collectText } from '../backend/chunks';
+import type { EngineClient } from '../backend/engine-client';
+import { streamAttempt } from '../backend/stream-relay';
+import type { AttemptResult, ChunkSink } from '../backend/stream-relay';
+import { CallerWriter, EventStreamSink, WholeAnswerSink } from './caller-writer';
+import {
+  buildEngineBody,
+  buildPrefixText,
+  computeChatFingerprint,
+  estimatePromptTokens,
+} from './chat-request';
+import type { ChatRequest } from './chat-request';
+import type { GrantClient } from './grant-client';
+import type { HeldSlot, SlotTimings } from './held-slot';
+import type { Caller, RequestContext } from './request-context';
+import { RequestError } from './request-context';
+import { SlotSource } from './slot-source';
+
+/** Services that all chat requests share. */
+export interface ChatServices {
+  grants: GrantClient;
+  engine: EngineClient;
+}
+
+/** A failed attempt, and whether it may have generated anything. */
+interface FailedAttempt {
+  cause: Cause;
+  hasRun: boolean;
+}
+
+export const DEFAULT_RETRY_PERCENT = 10;
+const MAX_ATTEMPTS = 2;
+
+/** Runs one chat request to its end. Throws RequestError to end it with an error answer. */
+export class ChatFlow {
+  readonly #source: SlotSource;
+  readonly #writer: CallerWriter;
+  readonly #sink: ChunkSink;
+  readonly #delivered: string[] = [];
+  readonly #chunkId: string;
+
+  constructor(
+    readonly context: RequestContext,
+    readonly caller: Caller,
+    readonly chat: ChatRequest,
+    readonly services: ChatServices,
+    poolName: string,
+  ) {
+    const { lifecycle, options } = context;
+    const { serviceClass } = caller;
+    this.#writer = new CallerWriter(context);
+    this.#sink = chat.isStreamed
+      ? new EventStreamSink(context, this.#writer)
+      : new WholeAnswerSink();
+    this.#chunkId = `chatcmpl-${lifecycle.requestId}`;
+    this.#source = new SlotSource(context, services.grants, {
+      requestId: lifecycle.requestId,
+      poolId: `model:${poolName}`,
+      className: serviceClass.name,
+      tier: serviceClass.tier,
+      team: caller.team,
+      fingerprint: computeChatFingerprint(chat),
+      prefixHash: options.hashToUint32(buildPrefixText(chat)),
+      promptTokens: estimatePromptTokens(chat),
+      maxOutputTokens: chat.maxOutputTokens,
+      arrivedAtMs: lifecycle.startedAtMs,
+      expiresAtMs: lifecycle.startedAtMs + serviceClass.maxTotalMs,
+      maxQueueMs: serviceClass.maxQueueMs,
+      bundleNumber: caller.active.bundle.number,
+    });
+  }
+
+  async run(): Promise<void> {
+    const { serviceClass } = this.caller;
+    const { retryBudget } = this.context.options;
+    let failed: FailedAttempt | undefined;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      const slot = await this.#takeSlot(failed);
+      if (attempt === 0) retryBudget.recordFirstAttempt(serviceClass.name, performance.now());
+      const startedAtMs = performance.now();
+      const result = await this.#streamFrom(slot).catch((error: unknown) => {
+        slot.endSlot('failed');
+        throw error;
+      });
+      this.context.lifecycle.recordHop('stream', startedAtMs, slot.serverId);
+      slot.endSlot(toFinishResult(result), this.#getTimings(attempt, startedAtMs));
+      const next = await this.#handleResult(result, slot, failed);
+      if (next === undefined) return;
+      failed = next;
+      if (attempt + 1 < MAX_ATTEMPTS) this.#startRetry(slot, failed);
+    }
+    if (failed !== undefined) throw createFailure(failed);
+  }
+
+  async #takeSlot(failed: FailedAttempt | undefined): Promise<HeldSlot> {
+    const result = await this.#source.takeSentSlot(this.context.signal);
+    switch (result.kind) {
+      case 'slot':
+        return result.slot;
+      case 'stopped':
+        throw this.#createStopped(undefined, failed?.hasRun ?? false);
+      case 'rejected':
+        if (failed?.hasRun) throw createFailure(failed);
+        throw new RequestError('not-run', result.cause, result.retryAfterMs);
+    }
+  }
+
+  async #streamFrom(slot: HeldSlot): Promise<AttemptResult> {
+    const { context, chat } = this;
+    const { lifecycle, span, options } = context;
+    const { grant } = slot.options;
+    const text = collectText(this.#delivered);
+    using hop = span.startChild('engine');
+    hop.setAttribute('server', slot.serverId);
+    const sentAtMs = performance.now();
+    return await streamAttempt({
+      engine: this.services.engine,
+      server: { address: grant.address, port: grant.port },
+      attemptId: slot.attemptId,
+      chunkId: this.#chunkId,
+      body: buildEngineBody(chat, grant.priority, text, lifecycle.meter.tokens),
+      headers: hop.injectHeaders(),
+      sink: this.#sink,
+      meter: lifecycle.meter,
+      delivered: this.#delivered,
+      signal: context.signal,
+      handleOpened: () => {
+        lifecycle.recordHop('connect', sentAtMs, slot.serverId);
+        lifecycle.setState({ kind: 'streaming', serverId: slot.serverId });
+      },
+      handleResume: (elapsedMs) => {
+        lifecycle.recordHop('resume', performance.now() - elapsedMs, slot.serverId);
+      },
+      ...(options.stallMs === undefined ? {} : { stallMs: options.stallMs }),
+    });
+  }
+
+  /** Undefined when the request has ended. */
+  async #handleResult(
+    result: AttemptResult,
+    slot: HeldSlot,
+    previous: FailedAttempt | undefined,
+  ): Promise<FailedAttempt | undefined> {
+    const hadRun = previous?.hasRun ?? false;
+    switch (result.kind) {
+      case 'completed':
+        await this.#sendEnd();
+        return undefined;
+      case 'aborted':
+        throw this.#createStopped(slot, true);
+      case 'error-status':
+        if (result.status < 500) {
+          await this.#sendEngineError(result.status, result.body, result.contentType);
+          return undefined;
+        }
+        return { cause: toCause(result, slot, this.#countTokens()), hasRun: true };
+      case 'not-sent':
+        if (this.context.signal.aborted) throw this.#createStopped(slot, hadRun);
+        return { cause: toCause(result, slot, this.#countTokens()), hasRun: hadRun };
+      case 'not-run':
+        return { cause: toCause(result, slot, this.#countTokens()), hasRun: hadRun };
+      case 'crashed':
+      case 'silent':
+      case 'lost':
+        return { cause: toCause(result, slot, this.#countTokens()), hasRun: true };
+    }
+  }
+
+  #startRetry(slot: HeldSlot, failed: FailedAttempt): void {
+    const { serviceClass } = this.caller;
+    const percent = serviceClass.retryBudgetPercent ?? DEFAULT_RETRY_PERCENT;
+    const { retryBudget } = this.context.options;
+    if (!retryBudget.tryRetry(serviceClass.name, percent, performance.now())) {
+      const { cause, hasRun } = failed;
+      throw createFailure({
+        cause: { kind: 'retry-budget-exhausted', budgetPercent: percent, underlying: cause },
+        hasRun,
+      });
+    }
+    this.context.lifecycle.recordHop('retry', performance.now(), slot.serverId);
+    this.#source.setRetry(slot.serverId);
+  }
+
+  async #sendEnd(): Promise<void> {
+    const { response } = this.context;
+    if (this.#sink instanceof EventStreamSink) {
+      this.#sink.writeChunk('[DONE]');
+      this.#sink.flush();
+      await this.#endAnswered(undefined);
+      return;
+    }
+    const { model } = this.chat;
+    const body = buildWholeAnswer(this.#delivered, this.#chunkId, model, this.#countTokens());
+    response.setHeader('content-type', 'application/json');
+    response.setHeader('content-length', Buffer.byteLength(body));
+    await this.#endAnswered(body);
+  }
+
+  async #sendEngineError(status: number, body: string, contentType: string): Promise<void> {
+    const { response } = this.context;
+    if (response.headersSent) {
+      throw new RequestError('failed', { kind: 'internal', message: `engine answered ${status}` });
+    }
+    response.statusCode = status;
+    response.setHeader('content-type', contentType);
+    response.setHeader('content-length', Buffer.byteLength(body));
+    await this.#endAnswered(body);
+  }
+
+  async #endAnswered(body: string | undefined): Promise<void> {
+    const isDelivered = await this.#writer.endResponse(body);
+    if (!isDelivered) throw this.#createStopped(undefined, true);
+    this.context.endRequest({ outcome: 'answered', status: this.context.response.statusCode });
+  }
+
+  #createStopped(slot: HeldSlot | undefined, hasRun: boolean): RequestError {
+    const { context } = this;
+    if (context.stopReason !== 'deadline') {
+      return new RequestError('cancelled', context.buildCallerCause(this.#writer.getStalledMs()));
+    }
+    const elapsedMs = performance.now() - context.lifecycle.startedAtMs;
+    if (!hasRun) {
+      const cause: Cause = { kind: 'queue-timeout', waitedMs: elapsedMs, usedSlotsByClass: {} };
+      return new RequestError('not-run', cause);
+    }
+    const { meter } = context.lifecycle;
+    return new RequestError('failed', {
+      kind: 'server-slow',
+      serverId: slot?.serverId ?? '',
+      attemptId: slot?.attemptId ?? '',
+      firstTokenMs: meter.firstTokenMs ?? elapsedMs,
+      longestGapMs: meter.longestGapMs,
+    });
+  }
+
+  #countTokens(): number {
+    return this.context.lifecycle.meter.tokens;
+  }
+
+  // A continued answer has no first token of its own to judge the server by.
+  #getTimings(attempt: number, sentAtMs: number): SlotTimings {
+    const { meter } = this.context.lifecycle;
+    const outputTokens = meter.tokens;
+    if (attempt > 0 || meter.firstTokenMs === undefined) return { outputTokens };
+    const meanGapMs = meter.getMeanGapMs();
+    const firstTokenMs = Math.max(0, meter.firstTokenMs - (sentAtMs - meter.startedAtMs));
+    return { firstTokenMs, outputTokens, ...(meanGapMs === undefined ? {} : { meanGapMs }) };
+  }
+}
+
+function createFailure(failed: FailedAttempt): RequestError {
+  return new RequestError(failed.hasRun ? 'failed' : 'not-run', failed.cause);
+}
+
+function toCause(
+  result: Exclude<AttemptResult, { kind: 'completed' | 'aborted' }>,
+  slot: HeldSlot,
+  deliveredTokens: number,
+): Cause {
+  const { serverId, attemptId } = slot;
+  switch (result.kind) {
+    case 'not-sent':
+      return { kind: 'server-refused', serverId, attemptId, status: 0 };
+    case 'not-run':
+      return { kind: 'server-refused', serverId, attemptId, status: result.status };
+    case 'error-status':
+      return { kind: 'backend-error', serverId, attemptId, status: result.status };
+    case 'crashed':
+      return { kind: 'server-crashed', serverId, attemptId, deliveredTokens };
+    case 'silent': {
+      const { silentMs } = result;
+      return { kind: 'server-silent', serverId, attemptId, silentMs, deliveredTokens };
+    }
+    case 'lost':
+      return { kind: 'backend-error', serverId, attemptId, status: 0 };
+  }
+}
+
+function toFinishResult(result: AttemptResult): Finish['result'] {
+  switch (result.kind) {
+    case 'completed':
+      return 'completed';
+    case 'aborted':
+      return 'cancelled';
+    case 'crashed':
+      return 'server-crashed';
+    case 'silent':
+    case 'not-sent':
+      // A refused connection means that the server is down, without a request to blame.
+      return 'server-silent';
+    case 'not-run':
+      return result.isDraining ? 'server-draining' : 'server-refused';
+    case 'error-status':
+    case 'lost':
+      return 'failed';
+  }
+}
--- /dev/null
+++ b/packages/router/src/entry/chat-request.ts
@@ -0,0 +1,217 @@
+import { createHash } from 'node:crypto';
+import { JsonPlaces, parseJson } from '@pollendrum/protocol';
+import type { Finding, Validator } from '@pollendrum/protocol';
+
+/** A message of a chat request; other fields are passed on as they are. */
+export interface ChatMessage {
+  role: string;
+  content?: unknown;
+}
+
+/** A chat request that passed the checks. */
+export interface ChatRequest {
+  model: string;
+  messages: ChatMessage[];
+  isStreamed: boolean;
+  /** 0 when the caller set no limit. */
+  maxOutputTokens: number;
+  /** All fields as sent. */
+  raw: Record<string, unknown>;
+}
+
+export type ChatParseResult = { ok: true; chat: ChatRequest } | { ok: false; findings: Finding[] };
+
+const SOURCE = 'body';
+const ROLES: ReadonlySet<unknown> = new Set(['system', 'developer', 'user', 'assistant', 'tool']);
+const CHARACTERS_PER_TOKEN = 4;
+const PREFIX_CHARACTERS = 1_024;
+
+/** Parses and checks a chat request; all problems are reported at once, with their place. */
+export function parseChatRequest(body: Buffer): ChatParseResult {
+  const text = decodeUtf8(body);
+  if (text === undefined) {
+    return { ok: false, findings: [{ pointer: '', message: 'must be UTF-8', source: SOURCE }] };
+  }
+  const value = parseText(text);
+  if (value === undefined) return { ok: false, findings: collectSyntaxFindings(text) };
+  const problems = checkChat(value);
+  if (problems.length === 0) return { ok: true, chat: toChatRequest(value as RawChat) };
+  const places = new JsonPlaces(text, SOURCE);
+  const findings = problems.map(({ pointer, message }) => places.createFinding(pointer, message));
+  return { ok: false, findings };
+}
+
+interface Problem {
+  pointer: string;
+  message: string;
+}
+
+type RawChat = Record<string, unknown> & { model: string; messages: ChatMessage[] };
+
+function decodeUtf8(body: Buffer): string | undefined {
+  try {
+    return new TextDecoder('utf-8', { fatal: true }).decode(body);
+  } catch {
+    return undefined;
+  }
+}
+
+function parseText(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function collectSyntaxFindings(text: string): Finding[] {
+  const result = parseJson(text, (() => true) as unknown as Validator<unknown>, SOURCE);
+  if (!result.ok) return result.findings;
+  return [{ pointer: '', message: 'invalid JSON', source: SOURCE }];
+}
+
+function checkChat(value: unknown): Problem[] {
+  if (!isObject(value)) return [{ pointer: '', message: 'must be an object' }];
+  return [
+    ...checkModel(value['model']),
+    ...checkMessages(value['messages']),
+    ...checkOptional(value, 'stream', isBoolean, 'must be true or false'),
+    ...checkOptional(value, 'max_tokens', isPositiveInteger, 'must be a positive integer'),
+    ...checkOptional(
+      value,
+      'max_completion_tokens',
+      isPositiveInteger,
+      'must be a positive integer',
+    ),
+    ...checkOptional(value, 'temperature', isTemperature, 'must be a number from 0 to 2'),
+    ...checkOptional(value, 'n', (count) => count === 1, 'must be 1'),
+  ];
+}
+
+function checkModel(model: unknown): Problem[] {
+  if (model === undefined) return [{ pointer: '', message: 'missing field model' }];
+  if (typeof model === 'string' && model !== '') return [];
+  return [{ pointer: '/model', message: 'must be a non-empty string' }];
+}
+
+function checkMessages(messages: unknown): Problem[] {
+  if (messages === undefined) return [{ pointer: '', message: 'missing field messages' }];
+  if (!Array.isArray(messages) || messages.length === 0) {
+    return [{ pointer: '/messages', message: 'must be a non-empty array' }];
+  }
+  return messages.flatMap((message, index) => checkMessage(message, `/messages/${index}`));
+}
+
+function checkMessage(message: unknown, pointer: string): Problem[] {
+  if (!isObject(message)) return [{ pointer, message: 'must be an object' }];
+  const problems: Problem[] = [];
+  if (!ROLES.has(message['role'])) {
+    const roles = [...ROLES].join(', ');
+    problems.push({ pointer: `${pointer}/role`, message: `must be one of ${roles}` });
+  }
+  const content = message['content'];
+  const isContent = typeof content === 'string' || Array.isArray(content);
+  const mayLackContent = message['role'] === 'assistant' && message['tool_calls'] !== undefined;
+  if (!isContent && !mayLackContent) {
+    problems.push({ pointer: `${pointer}/content`, message: 'must be a string or an array' });
+  }
+  return problems;
+}
+
+function checkOptional(
+  value: Record<string, unknown>,
+  field: string,
+  isValid: (fieldValue: unknown) => boolean,
+  message: string,
+): Problem[] {
+  const fieldValue = value[field];
+  if (fieldValue === undefined || fieldValue === null || isValid(fieldValue)) return [];
+  return [{ pointer: `/${field}`, message }];
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function isBoolean(value: unknown): boolean {
+  return typeof value === 'boolean';
+}
+
+function isPositiveInteger(value: unknown): boolean {
+  return Number.isSafeInteger(value) && (value as number) > 0;
+}
+
+function isTemperature(value: unknown): boolean {
+  return typeof value === 'number' && value >= 0 && value <= 2;
+}
+
+function toChatRequest(raw: RawChat): ChatRequest {
+  const limit = raw['max_completion_tokens'] ?? raw['max_tokens'] ?? 0;
+  return {
+    model: raw.model,
+    messages: raw.messages,
+    isStreamed: raw['stream'] === true,
+    maxOutputTokens: limit as number,
+    raw,
+  };
+}
+
+/** SHA-256 of model and messages, 32 hex digits. */
+export function computeChatFingerprint(chat: ChatRequest): string {
+  return hashToFingerprint(JSON.stringify([chat.model, chat.messages]));
+}
+
+/** First 128 bits of a SHA-256, hex. */
+export function hashToFingerprint(text: string | Buffer): string {
+  return createHash('sha256').update(text).digest('hex').slice(0, 32);
+}
+
+/** Text whose hash groups requests with a common prompt prefix. */
+export function buildPrefixText(chat: ChatRequest): string {
+  const first = JSON.stringify(chat.messages[0]?.content ?? '');
+  return `${chat.model}\n${first.slice(0, PREFIX_CHARACTERS)}`;
+}
+
+/** Estimated length of the prompt in tokens. */
+export function estimatePromptTokens(chat: ChatRequest): number {
+  const characters = chat.messages.reduce(
+    (sum, message) => sum + countCharacters(message.content),
+    0,
+  );
+  return Math.ceil(characters / CHARACTERS_PER_TOKEN);
+}
+
+function countCharacters(content: unknown): number {
+  if (typeof content === 'string') return content.length;
+  return content === undefined ? 0 : JSON.stringify(content).length;
+}
+
+/**
+ * Builds the request to an engine. With text, the engine continues it: the text becomes a final partial
+ * assistant message, and the tokens already delivered count towards the caller's limit.
+ */
+export function buildEngineBody(
+  chat: ChatRequest,
+  priority: number,
+  text: string,
+  deliveredTokens: number,
+): string {
+  const body: Record<string, unknown> = { ...chat.raw, stream: true, priority };
+  if (text === '') return JSON.stringify(body);
+  body['messages'] = appendText(chat, text);
+  body['continue_final_message'] = true;
+  body['add_generation_prompt'] = false;
+  for (const field of ['max_tokens', 'max_completion_tokens']) {
+    const limit = body[field];
+    if (typeof limit === 'number') body[field] = Math.max(1, limit - deliveredTokens);
+  }
+  return JSON.stringify(body);
+}
+
+function appendText(chat: ChatRequest, text: string): ChatMessage[] {
+  const last = chat.messages.at(-1);
+  const isPartial = chat.raw['continue_final_message'] === true && last?.role === 'assistant';
+  if (!isPartial) return [...chat.messages, { role: 'assistant', content: text }];
+  const joined = { ...last, content: `${String(last.content)}${text}` };
+  return [...chat.messages.slice(0, -1), joined];
+}
--- /dev/null
+++ b/packages/router/src/entry/entry-task.ts
@@ -0,0 +1,306 @@
+import { randomUUID } from 'node:crypto';
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { Cause } from '@pollendrum/protocol';
+import { EngineClient } from '../backend/engine-client';
+import { ServerPools } from '../backend/server-pools';
+import { ServiceClient } from '../backend/service-client';
+import type { ActiveBundle } from '../ports';
+import { readBody } from './body-reader';
+import { findTeam, parseRequestId, resolveCaller } from './caller-identity';
+import { ChatFlow } from './chat-flow';
+import { parseChatRequest } from './chat-request';
+import type { EntryLimits, EntryOptions } from './entry-options';
+import { resolveEntryLimits } from './entry-options';
+import { GrantClient } from './grant-client';
+import { serveOperator } from './operator-endpoint';
+import { RequestContext, RequestError } from './request-context';
+import { RequestLifecycle } from './request-state';
+import { ServiceFlow } from './service-flow';
+import { findRoute, parseServicePath } from './service-routes';
+
+/** The task that serves callers. */
+export interface EntryTask extends AsyncDisposable {
+  /** Port that is listened on. */
+  readonly port: number;
+  /** From now on answers close their connections and /readyz is 503. */
+  startStopping(): void;
+  /** Requests without an outcome. */
+  countInFlight(): number;
+  /** Settles when no request is in flight, or after `limitMs`; true when none is. */
+  waitIdle(limitMs: number): Promise<boolean>;
+  /** Stops accepting connections; requests in flight go on. */
+  closeListener(): void;
+}
+
+const MAX_HEADER_BYTES = 16_384;
+const MAX_HEADERS_TIMEOUT_MS = 30_000;
+const REQUEST_TIMEOUT_MS = 300_000;
+const TIMEOUT_CHECK_MS = 1_000;
+const KEEP_ALIVE_MS = 65_000;
+const IDLE_CHECK_MS = 20;
+
+/** Starts the HTTP server towards callers. Rejects when the port cannot be bound. */
+export async function createEntryTask(options: EntryOptions): Promise<EntryTask> {
+  const server = new EntryServer(options);
+  await server.start();
+  return server;
+}
+
+class EntryServer implements EntryTask {
+  readonly #limits: EntryLimits;
+  readonly #server: Server;
+  readonly #pools = new ServerPools();
+  readonly #grants: GrantClient;
+  readonly #engine = new EngineClient(this.#pools);
+  readonly #services = new ServiceClient(this.#pools);
+  #inFlight = 0;
+  #stoppingSinceMs: number | undefined;
+
+  constructor(readonly options: EntryOptions) {
+    const { settings, peers, routing, chooseShard } = options;
+    this.#limits = resolveEntryLimits(settings);
+    this.#grants = new GrantClient({
+      peers,
+      routing,
+      chooseShard,
+      failureDomain: settings.failureDomain,
+    });
+    this.#server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: Math.min(this.#limits.callerIdleTimeoutMs, MAX_HEADERS_TIMEOUT_MS),
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        noDelay: true,
+      },
+      (request, response) => {
+        void this.#handleRequest(request, response);
+      },
+    );
+    this.#server.maxConnections = this.#limits.maxConnections;
+    this.#server.on('clientError', sendClientError);
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  async start(): Promise<void> {
+    const { address, httpPort } = this.options.settings;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(httpPort, address, () => {
+        this.#server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  startStopping(): void {
+    this.#stoppingSinceMs ??= performance.now();
+  }
+
+  countInFlight(): number {
+    return this.#inFlight;
+  }
+
+  async waitIdle(limitMs: number): Promise<boolean> {
+    const untilMs = performance.now() + limitMs;
+    while (this.#inFlight > 0 && performance.now() < untilMs) {
+      await new Promise((resolve) => setTimeout(resolve, IDLE_CHECK_MS));
+    }
+    return this.#inFlight === 0;
+  }
+
+  closeListener(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const requestId = parseRequestId(request.headers) ?? randomUUID();
+    response.setHeader('x-request-id', requestId);
+    if (this.#stoppingSinceMs !== undefined) response.setHeader('connection', 'close');
+    const url = request.url ?? '/';
+    try {
+      if (url === '/livez') response.end('ok\n');
+      else if (url === '/readyz') this.#sendReadiness(response);
+      else if (url.startsWith('/admin/')) await serveOperator(this.options, request, response);
+      else await this.#runRequest(request, response, requestId);
+    } catch (error) {
+      this.options.telemetry.log.error('request handler failed', { requestId, error });
+      response.destroy();
+    }
+  }
+
+  #sendReadiness(response: ServerResponse): void {
+    const reasons = [...(this.options.listUnreadyReasons?.() ?? [])];
+    if (this.options.bundles.getActive() === undefined) reasons.push('no bundle');
+    if (this.#stoppingSinceMs !== undefined) reasons.push('stopping');
+    const isReady = reasons.length === 0;
+    response.statusCode = isReady ? 200 : 503;
+    response.setHeader('content-type', 'application/json');
+    response.end(JSON.stringify({ ready: isReady, reasons }));
+  }
+
+  async #runRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestId: string,
+  ): Promise<void> {
+    this.#inFlight += 1;
+    const active = this.options.bundles.getActive();
+    const { settings, outcomes, telemetry } = this.options;
+    const lifecycle = new RequestLifecycle({
+      requestId,
+      instanceId: settings.instanceId,
+      bundleNumber: active?.bundle.number ?? 0,
+      outcomes,
+    });
+    const span = telemetry.trace.startRequestSpan('request', request.headers);
+    const context = new RequestContext(
+      this.options,
+      this.#limits,
+      request,
+      response,
+      lifecycle,
+      span,
+    );
+    try {
+      await this.#routeRequest(context, active);
+    } catch (error) {
+      context.sendError(this.#toReply(error, requestId));
+    } finally {
+      this.#inFlight -= 1;
+    }
+  }
+
+  #toReply(error: unknown, requestId: string): RequestError['reply'] {
+    if (error instanceof RequestError) return error.reply;
+    this.options.telemetry.log.error('request failed', { requestId, error });
+    const cause: Cause = { kind: 'internal', message: 'unexpected error' };
+    return new RequestError('failed', cause).reply;
+  }
+
+  async #routeRequest(context: RequestContext, active: ActiveBundle | undefined): Promise<void> {
+    const { instanceId } = this.options.settings;
+    if (active === undefined) throw new RequestError('not-run', { kind: 'no-bundle', instanceId });
+    const { method, url = '/' } = context.request;
+    const path = url.split('?', 1)[0];
+    if (path === '/v1/chat/completions' && method === 'POST') {
+      await this.#runChat(context, active);
+    } else if (path === '/v1/models' && method === 'GET') {
+      await this.#sendModels(context, active);
+    } else if (url.startsWith('/services/')) {
+      await this.#runService(context, active, url);
+    } else {
+      throw new RequestError('not-run', { kind: 'unknown-service', service: path ?? '' });
+    }
+  }
+
+  async #runChat(context: RequestContext, active: ActiveBundle): Promise<void> {
+    const caller = resolveCaller(active, context.request.headers);
+    context.startDeadline(caller.serviceClass.maxTotalMs);
+    const startedAtMs = performance.now();
+    const parsed = parseChatRequest(await readBody(context));
+    context.lifecycle.recordHop('receive', startedAtMs);
+    if (!parsed.ok) {
+      throw new RequestError('not-run', { kind: 'bad-request', findings: parsed.findings });
+    }
+    const { chat } = parsed;
+    const { serviceClass, team } = caller;
+    context.lifecycle.setRoute({ serviceClass, team, target: chat.model, isModel: true });
+    const model = active.bundle.models.find((candidate) => candidate.name === chat.model);
+    if (model === undefined) {
+      throw new RequestError('not-run', { kind: 'unknown-model', model: chat.model });
+    }
+    const services = { grants: this.#grants, engine: this.#engine };
+    await new ChatFlow(context, caller, chat, services, model.pool).run();
+  }
+
+  async #sendModels(context: RequestContext, active: ActiveBundle): Promise<void> {
+    findTeam(active, context.request.headers);
+    const data = active.bundle.models.map(({ name }) => ({
+      id: name,
+      object: 'model',
+      owned_by: 'pollendrum',
+    }));
+    const { response } = context;
+    response.setHeader('content-type', 'application/json');
+    await new Promise<void>((resolve) => {
+      response.once('close', resolve);
+      response.once('finish', resolve);
+      response.end(JSON.stringify({ object: 'list', data }));
+    });
+    context.endRequest({ outcome: 'answered', status: 200 });
+  }
+
+  async #runService(context: RequestContext, active: ActiveBundle, url: string): Promise<void> {
+    const caller = resolveCaller(active, context.request.headers);
+    const { serviceClass, team } = caller;
+    context.startDeadline(serviceClass.maxTotalMs);
+    const parsed = parseServicePath(url);
+    if (!parsed.ok) {
+      const finding = { pointer: '', message: parsed.message, source: 'path' };
+      throw new RequestError('not-run', { kind: 'bad-request', findings: [finding] });
+    }
+    const { path } = parsed;
+    context.lifecycle.setRoute({ serviceClass, team, target: path.serviceName, isModel: false });
+    const service = active.bundle.services.find(({ name }) => name === path.serviceName);
+    const route =
+      service === undefined
+        ? undefined
+        : findRoute(service, context.request.method ?? '', path.routePath);
+    if (service === undefined || route === undefined) {
+      const name = `${path.serviceName}${path.routePath}`;
+      throw new RequestError('not-run', { kind: 'unknown-service', service: name });
+    }
+    const startedAtMs = performance.now();
+    const body = await readBody(context);
+    context.lifecycle.recordHop('receive', startedAtMs);
+    const services = { grants: this.#grants, client: this.#services };
+    await new ServiceFlow(context, caller, path, route, body, services, service.pool).run();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.closeListener();
+    this.#server.closeAllConnections();
+    this.#grants[Symbol.dispose]();
+    await this.#pools[Symbol.asyncDispose]();
+  }
+}
+
+/** Answers a request that Node's parser refused. */
+function sendClientError(error: Error & { code?: string }, socket: Socket): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const status = toParserStatus(error.code);
+  const finding = { pointer: '', message: error.message, source: 'headers' };
+  const body = JSON.stringify({
+    error: {
+      code: 'bad_request',
+      message: 'the request could not be read',
+      request_id: randomUUID(),
+      cause: { kind: 'bad-request', findings: [finding] },
+      not_run: true,
+    },
+  });
+  const head = `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nConnection: close\r\n`;
+  socket.end(`${head}Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+}
+
+function toParserStatus(code: string | undefined): string {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return '431 Request Header Fields Too Large';
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return '408 Request Timeout';
+    default:
+      return '400 Bad Request';
+  }
+}
--- /dev/null
+++ b/packages/router/src/entry/service-routes.ts
@@ -0,0 +1,78 @@
+import { createHash } from 'node:crypto';
+import type { Service, ServiceRoute } from '@pollendrum/protocol';
+
+/** Address of a call to a plain service. */
+export interface ServicePath {
+  serviceName: string;
+  /** Path below the service with its query, as sent. */
+  path: string;
+  /** Decoded path without the query, by which routes are chosen. */
+  routePath: string;
+}
+
+export type ServicePathResult = { ok: true; path: ServicePath } | { ok: false; message: string };
+
+const SERVICE_PATTERN = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+const KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
+const UUID_V7_PATTERN = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+
+/**
+ * Splits a path below /services. Paths that a service may resolve to another one than the router does are
+ * refused: they could reach a non-idempotent route under an idempotent one's rules.
+ */
+export function parseServicePath(url: string): ServicePathResult {
+  const match = SERVICE_PATTERN.exec(url);
+  if (match === null) return { ok: false, message: 'must be /services/NAME/...' };
+  const rawPath = match[2] ?? '/';
+  const routePath = decodePath(rawPath);
+  if (routePath === undefined) return { ok: false, message: 'has an invalid percent-encoding' };
+  const isAmbiguous = /%2f|%5c|\\/i.test(rawPath) || /\/\/|\/\.{1,2}(\/|$)/.test(routePath);
+  if (isAmbiguous) {
+    return { ok: false, message: 'must not contain empty, . or .. segments or encoded slashes' };
+  }
+  const path = `${rawPath}${match[3] ?? ''}`;
+  return { ok: true, path: { serviceName: match[1] ?? '', path, routePath } };
+}
+
+function decodePath(rawPath: string): string | undefined {
+  try {
+    return decodeURIComponent(rawPath);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Finds the route of a call: same method, longest prefix. */
+export function findRoute(
+  service: Service,
+  method: string,
+  routePath: string,
+): ServiceRoute | undefined {
+  return service.routes
+    .filter((route) => route.method === method && routePath.startsWith(route.pathPrefix))
+    .reduce<ServiceRoute | undefined>(
+      (longest, route) =>
+        longest === undefined || route.pathPrefix.length > longest.pathPrefix.length
+          ? route
+          : longest,
+      undefined,
+    );
+}
+
+/** Whether a value of Idempotency-Key has the allowed form. */
+export function isIdempotencyKey(value: unknown): value is string {
+  return typeof value === 'string' && KEY_PATTERN.test(value);
+}
+
+/** Hash under which a key is claimed. */
+export function hashClaimKey(team: string, service: string, key: string): string {
+  return createHash('sha256')
+    .update(JSON.stringify([team, service, key]))
+    .digest('hex');
+}
+
+/** Age of a UUIDv7 in milliseconds; undefined for other keys, whose age is not known. */
+export function computeKeyAgeMs(key: string, nowMs: number): number | undefined {
+  if (!UUID_V7_PATTERN.test(key)) return undefined;
+  return nowMs - Number.parseInt(key.replaceAll('-', '').slice(0, 12), 16);
+}
--- /dev/null
+++ b/packages/router/src/instance/index.ts
@@ -0,0 +1,7 @@
+export { GracefulShutdown } from './graceful-shutdown';
+export type { ShutdownStep, StepReport } from './graceful-shutdown';
+export { createInstance } from './instance';
+export type { DispatcherTask, Instance, InstanceDependencies, InstanceTasks } from './instance';
+export type { InstanceStatus } from './instance-status';
+export { watchSignals } from './signals';
+export type { SignalSource } from './signals';
--- /dev/null
+++ b/packages/router/src/instance/instance-status.ts
@@ -0,0 +1,65 @@
+import type { Settings } from '@pollendrum/protocol';
+import type { Member, RoutingView } from '../ports';
+import type { InstanceTasks } from './instance';
+
+/** Answer of `GET /admin/status`. */
+export interface InstanceStatus {
+  instanceId: string;
+  failureDomain: string;
+  region: string;
+  isDraining: boolean;
+  bundle: BundleStatus | undefined;
+  members: readonly Member[];
+  shards: ShardStatus[];
+}
+
+export interface BundleStatus {
+  number: number;
+  digest: string;
+  confirmedByPlatform: boolean;
+  /** Unix time in milliseconds. */
+  bundleAsOf: number;
+}
+
+export interface ShardStatus {
+  poolId: string;
+  shardIndex: number;
+  shardCount: number;
+  ownerInstanceId: string | undefined;
+  servers: { id: string; address: string; port: number; state: 'live' | 'leaving' }[];
+}
+
+/** Describes an instance to operators. */
+export function describeInstance(
+  settings: Settings,
+  tasks: Pick<InstanceTasks, 'bundles' | 'membership' | 'routing'>,
+  isDraining: boolean,
+): InstanceStatus {
+  const { instanceId, failureDomain, region } = settings;
+  return {
+    instanceId,
+    failureDomain,
+    region,
+    isDraining,
+    bundle: describeBundle(tasks),
+    members: tasks.membership.getView().members,
+    shards: listShards(tasks.routing.getView()),
+  };
+}
+
+function describeBundle(tasks: Pick<InstanceTasks, 'bundles'>): BundleStatus | undefined {
+  const active = tasks.bundles.getActive();
+  if (active === undefined) return undefined;
+  const { bundle, digest, confirmedByPlatform, asOfMs } = active;
+  return { number: bundle.number, digest, confirmedByPlatform, bundleAsOf: asOfMs };
+}
+
+function listShards(view: RoutingView): ShardStatus[] {
+  return [...view.pools.values()].flat().map((route) => ({
+    poolId: route.poolId,
+    shardIndex: route.shardIndex,
+    shardCount: route.shardCount,
+    ownerInstanceId: route.ownerInstanceId,
+    servers: route.servers.map(({ id, address, port, state }) => ({ id, address, port, state })),
+  }));
+}
--- /dev/null
+++ b/packages/router/src/instance/instance.ts
@@ -0,0 +1,159 @@
+import type { Settings } from '@pollendrum/protocol';
+import { createEntryTask } from '../entry/entry-task';
+import type { EntryTask } from '../entry/entry-task';
+import type { EntryOptions } from '../entry/entry-options';
+import type {
+  BundlePort,
+  ClaimsPort,
+  MembershipPort,
+  OutcomePort,
+  PeerPort,
+  RoutingPort,
+  TelemetryPort,
+} from '../ports';
+import { GracefulShutdown } from './graceful-shutdown';
+import type { ShutdownStep, StepReport } from './graceful-shutdown';
+import { describeInstance } from './instance-status';
+
+/** The dispatcher task as the instance uses it. */
+export interface DispatcherTask extends AsyncDisposable {
+  /** Answers waiting requests `moved` and takes no new ones. */
+  releaseShards(): Promise<void>;
+}
+
+/** The tasks that run besides the entry. */
+export interface InstanceTasks {
+  peers: PeerPort & AsyncDisposable;
+  membership: MembershipPort & AsyncDisposable;
+  routing: RoutingPort & AsyncDisposable;
+  instanceList: AsyncDisposable;
+  bundles: BundlePort & AsyncDisposable;
+  claims: ClaimsPort & AsyncDisposable;
+  outcomes: OutcomePort & AsyncDisposable;
+  dispatcher: DispatcherTask;
+}
+
+export interface InstanceDependencies {
+  telemetry: TelemetryPort;
+  tasks: InstanceTasks;
+  chooseShard: EntryOptions['chooseShard'];
+  retryBudget: EntryOptions['retryBudget'];
+  hashToUint32: EntryOptions['hashToUint32'];
+  /** Key read from settings.clusterKeyFile. */
+  clusterKey?: string;
+  listUnreadyReasons?: () => string[];
+}
+
+/** A running instance. Disposing stops it at once. */
+export interface Instance extends AsyncDisposable {
+  readonly entry: EntryTask;
+  /** Stops without cutting off requests; later calls wait for the first one. Never rejects. */
+  stop(): Promise<StepReport[]>;
+}
+
+const DEFAULT_BALANCER_LAG_MS = 10_000;
+const DEFAULT_DRAIN_LIMIT_MS = 900_000;
+const SHORT_STEP_LIMIT_MS = 2_000;
+const FLUSH_LIMIT_MS = 5_000;
+
+/** Starts the entry on the given tasks. Rejects when its port cannot be bound. */
+export async function createInstance(
+  settings: Settings,
+  dependencies: InstanceDependencies,
+): Promise<Instance> {
+  const { telemetry, tasks } = dependencies;
+  let shutdown: GracefulShutdown | undefined = undefined;
+  const isDraining = () => shutdown?.isStarted() ?? false;
+  const entry = await createEntryTask({
+    settings,
+    telemetry,
+    peers: tasks.peers,
+    routing: tasks.routing,
+    bundles: tasks.bundles,
+    claims: tasks.claims,
+    outcomes: tasks.outcomes,
+    chooseShard: dependencies.chooseShard,
+    retryBudget: dependencies.retryBudget,
+    hashToUint32: dependencies.hashToUint32,
+    describeStatus: () => describeInstance(settings, tasks, isDraining()),
+    ...(dependencies.clusterKey === undefined ? {} : { clusterKey: dependencies.clusterKey }),
+    ...(dependencies.listUnreadyReasons === undefined
+      ? {}
+      : { listUnreadyReasons: dependencies.listUnreadyReasons }),
+  });
+  const steps = createShutdownSteps(settings, tasks, entry);
+  const graceful = new GracefulShutdown(steps, telemetry.log);
+  shutdown = graceful;
+  return {
+    entry,
+    stop: async () => await graceful.run(),
+    async [Symbol.asyncDispose]() {
+      await closeTasks(tasks, entry);
+    },
+  };
+}
+
+/** Steps of section 8 of docs/design.md. */
+export function createShutdownSteps(
+  settings: Settings,
+  tasks: InstanceTasks,
+  entry: EntryTask,
+): ShutdownStep[] {
+  const balancerLagMs = settings.balancerLagMs ?? DEFAULT_BALANCER_LAG_MS;
+  const drainLimitMs = settings.drainLimitMs ?? DEFAULT_DRAIN_LIMIT_MS;
+  return [
+    {
+      name: 'announce-leaving',
+      limitMs: SHORT_STEP_LIMIT_MS,
+      run: async () => {
+        entry.startStopping();
+        tasks.membership.publishLeaving();
+        await Promise.resolve();
+      },
+    },
+    {
+      name: 'move-shards',
+      limitMs: SHORT_STEP_LIMIT_MS,
+      run: async () => {
+        await tasks.dispatcher.releaseShards();
+      },
+    },
+    {
+      name: 'wait-for-balancer',
+      limitMs: balancerLagMs + SHORT_STEP_LIMIT_MS,
+      run: async () => {
+        await new Promise((resolve) => setTimeout(resolve, balancerLagMs));
+      },
+    },
+    {
+      name: 'finish-requests',
+      limitMs: drainLimitMs + SHORT_STEP_LIMIT_MS,
+      run: async () => {
+        entry.closeListener();
+        const isIdle = await entry.waitIdle(drainLimitMs);
+        if (!isIdle) throw new Error(`${entry.countInFlight()} requests were still in flight`);
+      },
+    },
+    {
+      name: 'flush-outcomes',
+      limitMs: FLUSH_LIMIT_MS,
+      run: async () => {
+        await tasks.outcomes.flush();
+      },
+    },
+    {
+      name: 'close-tasks',
+      limitMs: FLUSH_LIMIT_MS,
+      run: async () => {
+        await closeTasks(tasks, entry);
+      },
+    },
+  ];
+}
+
+async function closeTasks(tasks: InstanceTasks, entry: EntryTask): Promise<void> {
+  await entry[Symbol.asyncDispose]();
+  const { dispatcher, claims, outcomes, bundles, routing, instanceList, membership, peers } = tasks;
+  const inOrder = [dispatcher, claims, outcomes, bundles, routing, instanceList, membership, peers];
+  for (const task of inOrder) await task[Symbol.asyncDispose]();
+}
--- /dev/null
+++ b/packages/router/src/telemetry/metrics.ts
@@ -0,0 +1,62 @@
+import { StatsD } from 'hot-shots';
+import type { LogPort, MetricsPort } from '../ports';
+import { RateLimitedWarning } from './rate-limited-warning';
+
+/** Metrics with the way to end them. */
+export interface Metrics extends AsyncDisposable {
+  port: MetricsPort;
+}
+
+const PREFIX = 'pollendrum.';
+const DEFAULT_PORT = 8_125;
+const BUFFER_BYTES = 1_400;
+const FLUSH_MS = 500;
+
+/** Creates metrics that go to a StatsD collector over UDP, or nowhere without an address. */
+export function createMetrics(address: string | undefined, log: LogPort): Metrics {
+  if (address === undefined) return createNoMetrics();
+  const warning = new RateLimitedWarning(log, 'metrics were not sent');
+  const separator = address.lastIndexOf(':');
+  const host = separator < 0 ? address : address.slice(0, separator);
+  const port = separator < 0 ? DEFAULT_PORT : Number(address.slice(separator + 1));
+  const client = new StatsD({
+    host,
+    port,
+    prefix: PREFIX,
+    maxBufferSize: BUFFER_BYTES,
+    bufferFlushInterval: FLUSH_MS,
+    errorHandler: (error) => {
+      warning.report(error.message);
+    },
+  });
+  return {
+    port: {
+      increment: (name, tags, value = 1) => {
+        client.increment(name, value, tags);
+      },
+      gauge: (name, value, tags) => {
+        client.gauge(name, value, tags);
+      },
+      timing: (name, valueMs, tags) => {
+        client.timing(name, valueMs, tags);
+      },
+    },
+    async [Symbol.asyncDispose]() {
+      await new Promise<void>((resolve) => {
+        client.close(() => {
+          resolve();
+        });
+      });
+    },
+  };
+}
+
+function createNoMetrics(): Metrics {
+  const discard = () => undefined;
+  return {
+    port: { increment: discard, gauge: discard, timing: discard },
+    async [Symbol.asyncDispose]() {
+      await Promise.resolve();
+    },
+  };
+}
