--- a/packages/router/src/backend/server-pools.ts
+++ b/packages/router/src/backend/server-pools.ts
@@ -18,7 +18,7 @@
   readonly #pools = new LRUCache<string, Pool>({
     max: MAX_SERVERS,
     // Closing lets requests in flight end.
-    dispose: (pool) => void pool.close(),
+    dispose: (pool) => void pool.close().catch(() => undefined),
   });
 
   /** Returns the pool of a server. Requests have no timeout of their own; callers bound them. */
--- a/packages/router/src/backend/stream-relay.ts
+++ b/packages/router/src/backend/stream-relay.ts
@@ -1,3 +1,4 @@
+import { StringDecoder } from 'node:string_decoder';
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage, EventSourceParser } from 'eventsource-parser';
 import { BackendCallError, toBackendCallError } from './backend-errors';
@@ -171,9 +172,10 @@
       },
     });
     const { body } = response;
-    body.setEncoding('utf8');
-    body.on('data', (text: string) => {
-      this.#readText(text, parser, response);
+    // A character may be split over two reads.
+    const decoder = new StringDecoder('utf8');
+    body.on('data', (part: Buffer) => {
+      this.#readText(decoder.write(part), parser, response);
     });
     body.on('error', (error) => {
       this.#handleReadEnd(response, error);
--- a/packages/router/src/entry/chat-flow.ts
+++ b/packages/router/src/entry/chat-flow.ts
@@ -157,9 +157,9 @@
         return { cause: toCause(result, slot, this.#countTokens()), hasRun: true };
       case 'not-sent':
         if (this.context.signal.aborted) throw this.#createStopped(slot, hadRun);
-        return { cause: toCause(result, slot, this.#countTokens()), hasRun: hadRun };
+        return this.#createNotRun(result, slot, previous);
       case 'not-run':
-        return { cause: toCause(result, slot, this.#countTokens()), hasRun: hadRun };
+        return this.#createNotRun(result, slot, previous);
       case 'crashed':
       case 'silent':
       case 'lost':
@@ -167,6 +167,16 @@
     }
   }
 
+  // When an earlier attempt ran, its failure explains the request, not the refusal that followed.
+  #createNotRun(
+    result: Extract<AttemptResult, { kind: 'not-run' | 'not-sent' }>,
+    slot: HeldSlot,
+    previous: FailedAttempt | undefined,
+  ): FailedAttempt {
+    if (previous?.hasRun) return previous;
+    return { cause: toCause(result, slot, this.#countTokens()), hasRun: false };
+  }
+
   #startRetry(slot: HeldSlot, failed: FailedAttempt): void {
     const { serviceClass } = this.caller;
     const percent = serviceClass.retryBudgetPercent ?? DEFAULT_RETRY_PERCENT;
--- a/packages/router/src/entry/error-replies.ts
+++ b/packages/router/src/entry/error-replies.ts
@@ -70,7 +70,8 @@
     case 'entry-lost':
     case 'instance-draining':
     case 'no-bundle':
-      return 503;
+      // 503 invites the caller to repeat, which only a request that did not run allows.
+      return outcome === 'failed' ? 502 : 503;
   }
 }
 
--- a/packages/router/src/entry/service-flow.ts
+++ b/packages/router/src/entry/service-flow.ts
@@ -123,7 +123,7 @@
     const secondResult = await this.#sendUnder(second.slot, this.context.signal);
     const hasRun = result.kind === 'failed';
     if (hasRun && (secondResult.kind === 'not-run' || secondResult.kind === 'not-sent')) {
-      throw new RequestError('failed', secondResult.cause);
+      throw new RequestError('failed', result.cause);
     }
     this.#endWith(secondResult);
   }
