--- a/packages/router/src/instance/signals.ts
+++ b/packages/router/src/instance/signals.ts
@@ -13,7 +13,10 @@
 /** SIGTERM and SIGINT stop gracefully; a second SIGTERM has no effect, a second SIGINT exits at once. */
 export function watchSignals(instance: Pick<Instance, 'stop'>, source: SignalSource): Unsubscribe {
   let interrupts = 0;
+  let isStopping = false;
   const handleTerm = () => {
+    if (isStopping) return;
+    isStopping = true;
     void instance.stop().then(() => {
       source.exit(0);
     });
