Wire the tasks of an instance and add the serve command

Change: startInstance creates membership, links, routing, list, bundle, claims, outcomes, dispatcher and entry; serve runs it. Checked by hand with separate processes (platform, engine, service, instance): a streamed and a whole answer, an order and its repeat under the same key answered from the claim, an unknown model with its cause, explain and report.

--- a/packages/cli/src/command-table.ts
+++ b/packages/cli/src/command-table.ts
@@ -8,6 +8,7 @@
 import { Explain } from './commands/explain';
 import { KeysNew } from './commands/keys-new';
 import { Report } from './commands/report';
+import { Serve } from './commands/serve';
 import { SettingsCheck } from './commands/settings-check';
 
 /** A command class as the table needs it; oclif's own type wants its loader's fields. */
@@ -24,5 +25,6 @@
   ['explain', Explain],
   ['keys new', KeysNew],
   ['report', Report],
+  ['serve', Serve],
   ['settings check', SettingsCheck],
 ]);
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './instance';
+export type * from './ports';
+export { computeOperatorToken } from './entry';
--- a/packages/router/src/instance/index.ts
+++ b/packages/router/src/instance/index.ts
@@ -1,3 +1,5 @@
+export { startInstance } from './start-instance';
+export type { StartedInstance } from './start-instance';
 export { GracefulShutdown } from './graceful-shutdown';
 export type { ShutdownStep, StepReport } from './graceful-shutdown';
 export { createInstance } from './instance';
--- /dev/null
+++ b/packages/router/src/instance/start-instance.ts
@@ -0,0 +1,197 @@
+import { readFileSync } from 'node:fs';
+import { createPlatformClient } from '@pollendrum/platform';
+import type { PlatformClient } from '@pollendrum/platform';
+import {
+  chooseOwner,
+  chooseShards,
+  computeShardIndex,
+  createRetryBudget,
+  createScheduler,
+  hashToUint32,
+  resolveShardCount,
+} from '@pollendrum/policy';
+import type { Settings } from '@pollendrum/protocol';
+import {
+  createBundleTask,
+  createClaimsTask,
+  createInstanceListTask,
+  createOutcomeTask,
+} from '../control';
+import { createDispatcherTask } from '../dispatcher';
+import type { ChooseShard } from '../entry';
+import { createLinkTask } from '../link';
+import type { LinkTask, LinkTls } from '../link';
+import { createMembershipTask } from '../membership';
+import type { MembershipTask } from '../membership';
+import type { TelemetryPort } from '../ports';
+import { createRoutingTask } from '../routing';
+import type { RoutingTask } from '../routing';
+import { createTelemetry } from '../telemetry';
+import { createInstance } from './instance';
+import type { Instance, InstanceTasks } from './instance';
+
+const DEFAULT_CLAIM_RETENTION_MS = 86_400_000;
+
+/** A started instance and what its owner disposes of last. */
+export interface StartedInstance extends AsyncDisposable {
+  instance: Instance;
+  telemetry: TelemetryPort;
+  /** Port of the link and membership sockets. */
+  peerPort: number;
+}
+
+/**
+ * Starts all tasks of an instance. The instance is ready once it has a bundle.
+ * @throws Error when a port cannot be bound or a key file cannot be read.
+ */
+export async function startInstance(
+  settings: Settings,
+  clusterKey: string,
+): Promise<StartedInstance> {
+  const telemetry = createTelemetry(settings);
+  const client = createPlatformClient({ url: settings.platformUrl });
+  const base = await startPeerTasks(settings, clusterKey, telemetry);
+  const tasks = startTasks(settings, telemetry, client, base);
+  const instance = await createInstance(settings, {
+    telemetry,
+    tasks,
+    clusterKey,
+    hashToUint32,
+    chooseShard: createShardChooser(settings),
+    retryBudget: createEntryRetryBudget(),
+  });
+  return {
+    instance,
+    telemetry,
+    peerPort: base.peers.port,
+    async [Symbol.asyncDispose]() {
+      await instance[Symbol.asyncDispose]();
+      await client[Symbol.asyncDispose]();
+      await telemetry[Symbol.asyncDispose]();
+    },
+  };
+}
+
+interface PeerTasks {
+  membership: MembershipTask;
+  peers: LinkTask;
+}
+
+async function startPeerTasks(
+  settings: Settings,
+  clusterKey: string,
+  telemetry: TelemetryPort,
+): Promise<PeerTasks> {
+  const { instanceId, address, peerPort, failureDomain, region, httpPort } = settings;
+  const { log, metrics } = telemetry;
+  const membership = await createMembershipTask({
+    self: { instanceId, address, peerPort, adminPort: httpPort, failureDomain, region },
+    ...{ clusterKey, log, metrics, probeIntervalMs: settings.probeIntervalMs },
+  });
+  const peers = await createLinkTask({
+    ...{ instanceId, address, failureDomain, clusterKey, log, metrics },
+    // Links and membership share one port number, TCP and UDP.
+    port: membership.port,
+    getMember: (id) => membership.getView().members.find((member) => member.instanceId === id),
+    tls: readPeerTls(settings),
+  });
+  return { membership, peers };
+}
+
+function startTasks(
+  settings: Settings,
+  telemetry: TelemetryPort,
+  client: PlatformClient,
+  { membership, peers }: PeerTasks,
+): InstanceTasks {
+  const { log, metrics } = telemetry;
+  const { instanceId } = settings;
+  const routing = createRoutingTask({
+    ...{ instanceId, membership, log, chooseOwner, resolveShardCount, computeShardIndex },
+    fetchList: async () => (await client.getInstances()).instances,
+  });
+  const instanceList = startListTask(client, telemetry, routing);
+  const shared = { client, membership, peer: peers, telemetry };
+  const bundles = createBundleTask({
+    ...shared,
+    trustedOperators: settings.trustedOperators ?? [],
+    requiredSignatures: settings.requiredSignatures ?? 1,
+  });
+  const outcomes = createOutcomeTask(shared);
+  const claims = createClaimsTask({
+    ...shared,
+    chooseOwner,
+    retentionMs: settings.claimRetentionMs ?? DEFAULT_CLAIM_RETENTION_MS,
+  });
+  const dispatcher = createDispatcherTask({
+    ...{ instanceId, peers, routing, bundles, membership, log, metrics },
+    createScheduler: ({ shardCount }) => createScheduler({ shardCount }),
+    recordOutcome: (record) => {
+      outcomes.recordOutcome(record);
+    },
+    slotsPerServer: settings.slotsPerServer,
+  });
+  return {
+    ...{ peers, membership, instanceList, bundles, claims, outcomes },
+    routing: Object.assign(routing, {
+      async [Symbol.asyncDispose]() {
+        await Promise.resolve(routing[Symbol.dispose]());
+      },
+    }),
+    dispatcher: {
+      releaseShards: async () => {
+        await Promise.resolve(dispatcher.stop());
+      },
+      [Symbol.asyncDispose]: () => dispatcher[Symbol.asyncDispose](),
+    },
+  };
+}
+
+function startListTask(client: PlatformClient, telemetry: TelemetryPort, routing: RoutingTask) {
+  return createInstanceListTask({
+    client,
+    telemetry,
+    listener: (list) => {
+      routing.updateList(list.instances);
+    },
+    confirmListener: (list) => {
+      routing.updateList(list.instances);
+    },
+  });
+}
+
+/** Adapts the policy's choice among shards: those with servers in the own region, if there are any. */
+function createShardChooser(settings: Settings): ChooseShard {
+  return (routes, prefixHash, waitMs) => {
+    const inRegion = routes.filter(({ servers }) =>
+      servers.some((server) => server.region === settings.region),
+    );
+    const usable = inRegion.length > 0 ? inRegion : routes;
+    const shards = usable.map(({ shardIndex }) => ({ shardIndex, waitMs: waitMs(shardIndex) }));
+    const subsetKey = settings.instanceId;
+    const [chosen] = chooseShards({ shards, subsetKey, prefixHash, random: Math.random });
+    return routes.find((route) => route.shardIndex === chosen);
+  };
+}
+
+function createEntryRetryBudget() {
+  const budget = createRetryBudget();
+  return {
+    recordFirstAttempt: (className: string, nowMs: number) => {
+      budget.recordFirstAttempt(className, nowMs);
+    },
+    tryRetry: (className: string, percent: number, nowMs: number) =>
+      budget.takeRetry(className, nowMs, percent),
+  };
+}
+
+function readPeerTls(settings: Settings): LinkTls | undefined {
+  const files = settings.peerTls;
+  if (files === undefined) return undefined;
+  const read = (file: string) => readFileSync(file, 'utf8');
+  return {
+    certificate: read(files.certificateFile),
+    key: read(files.keyFile),
+    ca: read(files.caFile ?? files.certificateFile),
+  };
+}
