Divide team limits by the shard count once

Cause: the dispatcher and the scheduler would both have divided them. Change: the scheduler is created for the dispatcher's already divided limits.

--- a/packages/router/src/control/instance-list-task.ts
+++ b/packages/router/src/control/instance-list-task.ts
@@ -37,7 +37,10 @@
   const watcher = new ChangeWatcher<InstanceList>({
     readValue: async () => toVersioned(await client.getInstances()),
     watchValue: async (afterVersion, signal) => {
-      const changed = await client.watchInstances({ afterVersion: Math.max(0, afterVersion - 1), signal });
+      const changed = await client.watchInstances({
+        afterVersion: Math.max(0, afterVersion - 1),
+        signal,
+      });
       return changed === undefined ? undefined : toVersioned(changed);
     },
     handleValue: (value) => {
--- a/packages/router/src/instance/start-instance.ts
+++ b/packages/router/src/instance/start-instance.ts
@@ -125,7 +125,8 @@
   });
   const dispatcher = createDispatcherTask({
     ...{ instanceId, peers, routing, bundles, membership, log, metrics },
-    createScheduler: ({ shardCount }) => createScheduler({ shardCount }),
+    // The dispatcher divides team limits by the shard count before it passes them on.
+    createScheduler: () => createScheduler(),
     recordOutcome: (record) => {
       outcomes.recordOutcome(record);
     },
