Make the property tests of the scheduler bite

Cause: the random runs did not notice a scheduler without floors, without tiers in eviction, or with deadlines before tiers: fast-check's option gives null once in freq cases, so most requests were constrained and exempt, and the shard was rarely full. Change: constraints are one request in ten, arrivals outnumber finishes, lower tiers have early deadlines, and a failing run ends at once instead of shrinking for minutes. A case shows why classes that became due first start first.

--- a/packages/policy/test/scheduler-properties.test.ts
+++ b/packages/policy/test/scheduler-properties.test.ts
@@ -9,17 +9,18 @@
 } from '../src/index';
 import { createTestScheduler, makeClass, makeRequest, makeServer } from './fixtures';
 
+const LATE = { preference: 'goodput', targetFirstByteMs: 50 } as const;
 const CLASSES = [
   makeClass('quick', { floorPercent: 10, targetFirstByteMs: 300 }),
   makeClass('order', { floorPercent: 5, targetFirstByteMs: 200 }),
-  makeClass('mid', { tier: 1, floorPercent: 20, preference: 'goodput', maxQueueMs: 900 }),
-  makeClass('bulk', { tier: 2, floorPercent: 15, preference: 'goodput', maxQueueMs: 2000 }),
+  // Early deadlines in lower tiers show whether tiers come before deadlines.
+  makeClass('mid', { tier: 1, floorPercent: 20, ...LATE, maxQueueMs: 900 }),
+  makeClass('bulk', { tier: 2, floorPercent: 15, ...LATE, maxQueueMs: 2000 }),
 ];
 const RESULTS: readonly FinishResult[] = [
-  'completed',
-  'completed',
-  'completed',
   'failed',
+  'failed',
+  'cancelled',
   'cancelled',
   'not-sent',
   'server-crashed',
@@ -28,35 +29,43 @@
   'server-silent',
 ];
 const SERVERS = [
-  makeServer('s1', 2),
-  makeServer('s2', 3),
+  makeServer('s1', 1),
+  makeServer('s2', 2),
   makeServer('s3', 1),
-  makeServer('s4', 4),
+  makeServer('s4', 2),
 ];
 
+/** Mostly null: constraints are the exception, and the predicates exempt constrained requests. */
+function makeRare(...values: string[]) {
+  return fc.oneof(
+    { weight: 9, arbitrary: fc.constant(null) },
+    { weight: 1, arbitrary: fc.constantFrom(...values) },
+  );
+}
+
 const pick = fc.nat({ max: 1000 });
 const step = fc.oneof(
   {
-    weight: 8,
+    weight: 14,
     arbitrary: fc.record({
       kind: fc.constant('enqueue' as const),
       // Bursts of the highest tier are what starves the others.
       className: fc.constantFrom('quick', 'quick', 'quick', 'order', 'mid', 'bulk', 'bulk'),
       team: fc.constantFrom('team-1', 'team-2', 'team-3'),
-      fingerprint: fc.option(fc.constantFrom('f1', 'f2', 'f3')),
-      excluded: fc.option(fc.constantFrom('s1', 's2', 's3', 's4'), { freq: 9 }),
+      fingerprint: makeRare('f1', 'f2', 'f3'),
+      excluded: makeRare('s1', 's2', 's3', 's4'),
       ageMs: fc.constantFrom(0, 0, 0, 5, 150),
     }),
   },
   {
-    weight: 6,
+    weight: 2,
     arbitrary: fc.record({
       kind: fc.constant('finish' as const),
       pick,
       result: fc.constantFrom(...RESULTS),
     }),
   },
-  { weight: 6, arbitrary: fc.record({ kind: fc.constant('complete' as const), pick }) },
+  { weight: 10, arbitrary: fc.record({ kind: fc.constant('complete' as const), pick }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('withdraw' as const), pick }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('repeat' as const), pick }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('adopt' as const), pick }) },
@@ -85,7 +94,7 @@
   private readonly scheduler = createTestScheduler({
     classes: CLASSES,
     servers: SERVERS,
-    queueLimit: 15,
+    queueLimit: 25,
     onEvent: (event) => {
       this.events.push(event);
       if (event.kind !== 'suspect') return;
@@ -151,7 +160,7 @@
         return;
       }
       case 'wait':
-        this.nowMs += next.pick % 120;
+        this.nowMs += next.pick % 60;
         return;
       case 'crash':
         scheduler.observeCrash(`f${(next.pick % 3) + 1}`, `s${(next.pick % 4) + 1}`, nowMs);
@@ -224,7 +233,7 @@
     driver.run(list);
     check(driver);
   });
-  fc.assert(property, { seed, numRuns: 150 });
+  fc.assert(property, { seed, numRuns: 100, endOnFailure: true });
 }
 
 describe('random arrivals, finishes, crashes and repeats', () => {
--- a/packages/policy/test/scheduler.test.ts
+++ b/packages/policy/test/scheduler.test.ts
@@ -1,6 +1,12 @@
 import { describe, expect, test } from 'vitest';
 import type { Cause } from '@pollendrum/protocol';
-import type { FinishResult, QueuedRequest, Scheduler } from '../src/index';
+import {
+  checkNoStarvation,
+  type DecisionEvent,
+  type FinishResult,
+  type QueuedRequest,
+  type Scheduler,
+} from '../src/index';
 import {
   createTestScheduler,
   makeClass,
@@ -99,6 +105,25 @@
     expect(floorStarts).toEqual([5, 10, 15, 20, 25, 30, 35, 40, 45]);
   });
 
+  // Guards against a large floor that becomes due twice while lower classes wait, which breaks P2.
+  test('classes that are due together all start within the bound', () => {
+    const small = ['c1', 'c2', 'c3', 'c4', 'c5'].map((name) =>
+      makeClass(name, { tier: 1, floorPercent: 1, preference: 'goodput', maxQueueMs: 10_000 }),
+    );
+    const top = makeClass('quick', { floorPercent: 45, targetFirstByteMs: 10_000 });
+    const classes = [top, ...small];
+    const events: DecisionEvent[] = [];
+    const requests = classes.flatMap(({ name }) =>
+      Array.from({ length: 400 }, (_, index) =>
+        makeRequest(`${name}-${index}`, { className: name }),
+      ),
+    );
+    listStartOrder({ classes, onEvent: (event) => events.push(event) }, requests);
+    const starts = events.filter(({ kind }) => kind === 'start').slice(0, 300);
+    const enqueues = events.filter(({ kind }) => kind === 'enqueue');
+    expect(checkNoStarvation([...enqueues, ...starts], classes)).toEqual([]);
+  });
+
   // Guards against lower tiers that leave a higher one without a free slot.
   test.each([
     ['bulk', 8],
