Test that a withdrawn request's pending shed is dropped

Cause: a scheduler that kept the shed of a request withdrawn before the decisions were taken passed all tests. Change: the case of late and repeated messages withdraws such a request.

--- a/packages/policy/test/scheduler.test.ts
+++ b/packages/policy/test/scheduler.test.ts
@@ -425,6 +425,8 @@
   scheduler.enqueue(makeRequest('early'), 0);
   scheduler.enqueue(makeRequest('r1'), 0);
   scheduler.enqueue(makeRequest('r1'), 0);
+  scheduler.enqueue(makeRequest('shed', { excludedServerIds: ['s1'] }), 0);
+  scheduler.withdraw('shed');
   expect(toText(scheduler.takeDecisions(0))).toEqual(['r1>s1']);
   scheduler.withdraw('r1');
   expect(scheduler.listGranted()).toEqual(['r1']);
