Test an accepted head against a competing update while the body is stored

Cause: a fault put in on purpose, the head update under a version read just before it, was seen by no test: in the race test both operators read the head in the same step. Change: a case in which the other bundle is accepted between the first read of the head and its update.

--- a/packages/platform/test/bundle-store.test.ts
+++ b/packages/platform/test/bundle-store.test.ts
@@ -4,6 +4,9 @@
 import type { PutFault } from './fake-platform';
 import { buildBundleText, buildEnvelope, signText, trustedOperators } from './operators';
 
+const DIGEST = 'f'.repeat(64);
+const OTHER_HEAD = { number: 1, digest: DIGEST, acceptedBy: 'b', acceptedAtMs: 1, signers: [] };
+
 describe('BundleStore', () => {
   let platform: FakePlatform;
   let store: BundleStore;
@@ -62,6 +65,17 @@
     expect(loser).toEqual({ kind: 'conflict', winner: head });
   });
 
+  // Guards against an update that overwrites a head accepted after it was read.
+  test('reports the bundle that was accepted while its own was being stored', async () => {
+    const winner = OTHER_HEAD;
+    platform.beforePut = (key) => {
+      if (key === BUNDLE_HEAD_KEY) return;
+      platform.applyPut(BUNDLE_HEAD_KEY, JSON.stringify(winner), { kind: 'absent' });
+    };
+    const result = await store.acceptBundle(buildEnvelope(1, ['ana', 'bongi']), 'ana');
+    expect(result).toEqual({ kind: 'conflict', winner });
+  });
+
   // Guards against an unconfirmed update that is reported as lost once a later bundle replaced it.
   test('reports unknown when the head moved on before the read-back', async () => {
     let isUpdated = false;
@@ -69,13 +83,7 @@
       if (key !== BUNDLE_HEAD_KEY || isUpdated) return;
       isUpdated = true;
       platform.putFaults = ['lost'];
-      const head = {
-        number: 2,
-        digest: 'f'.repeat(64),
-        acceptedBy: 'b',
-        acceptedAtMs: 1,
-        signers: [],
-      };
+      const head = { ...OTHER_HEAD, number: 2 };
       platform.applyPut(BUNDLE_HEAD_KEY, JSON.stringify(head), { kind: 'absent' });
     };
     const result = await store.acceptBundle(buildEnvelope(1, ['ana', 'bongi']), 'ana');
