Close gaps that switched-off mechanisms showed in the tests

Cause: with the pause guard, the pings, the rank of leaving or the probe before a removal switched off, all tests still passed. Change: the pause test spans a running suspicion, a link with an unanswered message has to stay, the order of member states has a table, and an unlisted member that was merely not heard has to stay. Conclusion: each of these mechanisms now makes a test fail when it is switched off.

--- a/packages/router/test/link/link-task.test.ts
+++ b/packages/router/test/link/link-task.test.ts
@@ -63,6 +63,17 @@
     expect(relay.accepted).toBe(2);
   });
 
+  // Guards against healthy links that are replaced because a message needs no answer.
+  test('keeps a link on which the last message has no answer', async () => {
+    const ports: PortTable = new Map();
+    await using b = await startPeer('b', ports);
+    await using a = await startPeer('a', ports);
+    a.task.sendMessage('b', WITHDRAW);
+    await wait(2_200);
+    expect(a.lost).toEqual([]);
+    expect(b.received).toHaveLength(1);
+  });
+
   // Guards against a link that stays open unused, and an idle close that is taken for a crash.
   test('closes an idle link without reporting a loss', async () => {
     const ports: PortTable = new Map();
--- a/packages/router/test/membership/membership-state.test.ts
+++ b/packages/router/test/membership/membership-state.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, test } from 'vitest';
 import { MAX_DATAGRAM_BYTES } from '../../src/membership/datagram-codec';
+import { isNewer } from '../../src/membership/member-table';
 import { SimulatedFleet } from './simulated-fleet';
 
 const NETWORKS = {
@@ -39,13 +40,15 @@
   test('removes nobody after a pause of the own process', () => {
     const fleet = new SimulatedFleet({ size: 5, seed: 5 });
     fleet.run(3_000);
+    fleet.isCut = (from, to) => from === 1 || to === 1;
+    const isSuspected = () => fleet.findObservers('instance-1', ['suspect']).includes(0);
+    expect(fleet.run(5_000, isSuspected)).toBe(true);
     fleet.getNode(0).isUp = false;
-    fleet.run(800);
+    fleet.isCut = () => false;
+    fleet.run(3_000);
     fleet.getNode(0).isUp = true;
     fleet.run(1);
-    for (const { id } of fleet.nodes.slice(1)) {
-      expect(fleet.findObservers(id, ['absent'])).toEqual([]);
-    }
+    expect(fleet.findObservers('instance-1', ['absent'])).toEqual([]);
   });
 });
 
@@ -101,6 +104,29 @@
   });
 });
 
+// Guards against a suspicion that gives a stopping instance its shards back.
+test.each([
+  ['suspect', 1, 'leaving', 1, false],
+  ['leaving', 1, 'suspect', 1, true],
+  ['dead', 1, 'leaving', 1, true],
+  ['alive', 2, 'dead', 1, true],
+  ['alive', 1, 'suspect', 1, false],
+] as const)(
+  '%s %i over %s %i is %s',
+  (state, incarnation, knownState, knownIncarnation, expected) => {
+    const common = {
+      kind: 'member',
+      instanceId: 'a',
+      address: '',
+      peerPort: 1,
+      adminPort: 1,
+    } as const;
+    const update = { ...common, failureDomain: 'd', region: 'r', incarnation, state };
+    const known = { ...update, incarnation: knownIncarnation, state: knownState };
+    expect(isNewer(update, known)).toBe(expected);
+  },
+);
+
 describe('platform list', () => {
   // Guards against a lagging or wrong list that removes an instance which answers.
   test('never removes an instance that answers', () => {
@@ -108,8 +134,20 @@
     for (let round = 0; round < 5; round += 1) {
       fleet.run(20_000);
       fleet.mergeList(0, fleet.listed.slice(0, 4));
+      expect(fleet.findObservers('instance-4', ['alive'])).toHaveLength(5);
     }
-    expect(fleet.findObservers('instance-4', ['alive'])).toHaveLength(5);
+  });
+
+  // Guards against removing a member that was merely not probed since it left the list.
+  test('an absent instance is probed before it is removed', () => {
+    const fleet = new SimulatedFleet({ size: 60, seed: 16 });
+    fleet.run(1_000);
+    fleet.mergeList(0, []);
+    fleet.run(31_000);
+    fleet.mergeList(0, []);
+    expect(fleet.getNode(0).state.getView().members).toHaveLength(60);
+    fleet.run(6_000);
+    expect(fleet.getNode(0).state.getView().members).toHaveLength(60);
   });
 
   // Guards against a newly listed instance that never takes part until it contacts the others itself.
