Test that a lost entry's waiting requests get no grant

Cause: with the suspension of waiting requests of a lost entry switched off, all tests still passed. Change: a test frees a slot during the grace period and expects the next entry to get it. Checked (npx vitest run packages/router/test/dispatcher): 24 tests pass; the new one fails without the suspension. Conclusion: the suspension is guarded.

--- a/packages/router/test/dispatcher/dispatcher-task.test.ts
+++ b/packages/router/test/dispatcher/dispatcher-task.test.ts
@@ -170,6 +170,23 @@
   });
 });
 
+// Guards against a slot that is granted to an entry which may be dead while others wait.
+test('a waiting request of a lost entry is not granted until the entry is back', async () => {
+  await using fixture = new DispatcherFixture([buildServer('s1', 1)]);
+  fixture.send('e2', buildEnqueue('b1'));
+  await wait(300);
+  fixture.send('e1', buildEnqueue('a1'));
+  fixture.send('e2', buildEnqueue('b2'));
+  fixture.failLink('e1');
+  fixture.send('e2', buildFinish('b1', 'completed'));
+  await wait(100);
+  expect([fixture.listAnswers('a1'), fixture.listAnswers('b2')]).toEqual([[], ['grant']]);
+  fixture.send('e1', buildEnqueue('a1'));
+  fixture.send('e2', buildFinish('b2', 'completed'));
+  await wait(100);
+  expect(fixture.listAnswers('a1')).toEqual(['grant']);
+});
+
 describe('crashes', () => {
   // Guards against a request that crashes one server after another.
   test('go out to membership and come back to the schedulers', async () => {
