Do not start goodput work that cannot end in time

Change: a class that prefers goodput waits no longer than leaves time for a long answer (mean plus 6 mean deviations, learned per class and team), and at least a quarter of its target.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -1,7 +1,7 @@
 import type { Cause } from '@pollendrum/protocol';
 import type { CrashLedger } from './crash-ledger';
 import { Headroom } from './headroom';
-import { resolveBudgetMs, resolveQueuedSince, type RequestQueue } from './queue';
+import { resolveQueuedSince, type RequestQueue } from './queue';
 import { PROBE_INTERVAL_MS } from './server-health';
 import { countFreeSlots, countSlots, type ServerTable } from './server-table';
 import type { TeamLimits } from './team-limits';
@@ -41,11 +41,15 @@
 }
 
 /** The team's limits come last, so that a request refused for another reason uses up nothing. */
-export function findRefusal(request: QueuedRequest, input: AdmissionInput): Refusal | undefined {
+export function findRefusal(
+  request: QueuedRequest,
+  budgetMs: number,
+  input: AdmissionInput,
+): Refusal | undefined {
   return (
     checkPoison(request, input.ledger) ??
-    checkServers(request, input) ??
-    checkWait(request, input) ??
+    checkServers(request, budgetMs, input) ??
+    checkWait(request, budgetMs, input) ??
     input.limits.checkAttempt(request.team, request.isRetry, input.nowMs)
   );
 }
@@ -70,8 +74,12 @@
 }
 
 /** Refuses a request that no server could start within its budget. */
-function checkServers(request: QueuedRequest, input: AdmissionInput): Refusal | undefined {
-  const { queue, table, nowMs } = input;
+function checkServers(
+  request: QueuedRequest,
+  budgetMs: number,
+  input: AdmissionInput,
+): Refusal | undefined {
+  const { table, nowMs } = input;
   const excluded = request.excludedServerIds;
   const isAllowed = ({ id }: { id: string }) => !excluded.includes(id);
   if (table.listInState('healthy', nowMs).some(isAllowed)) return undefined;
@@ -80,19 +88,21 @@
     const probeInMs = lost.some(({ id }) => table.health.isProbeDue(id, nowMs))
       ? 0
       : table.health.getNextChangeMs(nowMs) - nowMs;
-    const budgetMs = resolveBudgetMs(queue.getClass(request.className).settings);
     if (probeInMs < budgetMs) return undefined;
   }
   return makeNoServerRefusal(table, nowMs);
 }
 
 /** Refuses a request whose estimated wait passes the budget of its class. */
-function checkWait(request: QueuedRequest, input: AdmissionInput): Refusal | undefined {
+function checkWait(
+  request: QueuedRequest,
+  budgetMs: number,
+  input: AdmissionInput,
+): Refusal | undefined {
   const { queue, nowMs } = input;
   const waitInput = makeWaitInput(input);
   if (waitInput.slots === 0) return undefined;
   const classQueue = queue.getClass(request.className);
-  const budgetMs = resolveBudgetMs(classQueue.settings);
   const waitMs = estimateClassWait(waitInput, classQueue);
   const waitedMs = nowMs - resolveQueuedSince(request, nowMs);
   if (waitMs === 0 || waitedMs + waitMs <= budgetMs) return undefined;
--- a/packages/policy/src/fair-queue.ts
+++ b/packages/policy/src/fair-queue.ts
@@ -24,6 +24,8 @@
   enqueuedAtMs: number;
   timeoutAtMs: number;
   estimatedServiceMs: number;
+  /** Service time that few requests exceed, in milliseconds. */
+  longServiceMs: number;
   estimatedTokens: number;
   isWaiting: boolean;
 }
--- a/packages/policy/src/queue.ts
+++ b/packages/policy/src/queue.ts
@@ -10,12 +10,32 @@
   constraint: Constraint;
   /** In milliseconds. */
   estimatedServiceMs: number;
+  /** In milliseconds. */
+  longServiceMs: number;
   estimatedTokens: number;
 }
 
-/** Longest time in the queue, in milliseconds. */
-export function resolveBudgetMs(settings: SchedulingClass): number {
-  return settings.preference === 'attainment' ? settings.targetFirstByteMs : settings.maxQueueMs;
+/**
+ * Least time in the queue as a share of the target. Without it, estimates that are too long would refuse
+ * every request of a class, and no completion would correct them.
+ */
+const MIN_BUDGET_RATIO = 0.25;
+
+/**
+ * Longest time in the queue, in milliseconds. A class that prefers goodput does not start a request that
+ * would probably not end before its caller leaves, because its tokens would be wasted.
+ */
+export function resolveBudgetMs(
+  settings: SchedulingClass,
+  request: QueuedRequest,
+  longServiceMs: number,
+): number {
+  if (settings.preference === 'attainment') return settings.targetFirstByteMs;
+  const endableMs = request.expiresAtMs - longServiceMs - request.arrivedAtMs;
+  return Math.min(
+    settings.maxQueueMs,
+    Math.max(settings.targetFirstByteMs * MIN_BUDGET_RATIO, endableMs),
+  );
 }
 
 function isNewer(a: WaitingRequest, b: WaitingRequest): boolean {
@@ -210,8 +230,10 @@
   return request.isRetry ? nowMs : Math.min(request.arrivedAtMs, nowMs);
 }
 
-function computeTimeout({ request, classQueue, queuedSinceMs }: WaitingRequest): number {
-  return Math.min(queuedSinceMs + resolveBudgetMs(classQueue.settings), request.expiresAtMs);
+function computeTimeout(waiting: WaitingRequest): number {
+  const { request, classQueue, queuedSinceMs, longServiceMs } = waiting;
+  const budgetMs = resolveBudgetMs(classQueue.settings, request, longServiceMs);
+  return Math.min(queuedSinceMs + budgetMs, request.expiresAtMs);
 }
 
 function makeTimeoutHeap(): Heap<WaitingRequest> {
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -12,7 +12,7 @@
 import type { WaitingRequest } from './fair-queue';
 import { Floors } from './floors';
 import { LengthEstimates } from './length-estimate';
-import { RequestQueue } from './queue';
+import { RequestQueue, resolveBudgetMs } from './queue';
 import { RecentIds } from './recent-ids';
 import { ServerTable, type HeldGrant } from './server-table';
 import type { SchedulerOptions } from './scheduler-options';
@@ -80,19 +80,22 @@
     this.setNow(nowMs);
     if (this.isKnown(request.attemptId)) return;
     const { attemptId, className, fingerprint, excludedServerIds } = request;
-    const { tier } = this.queue.getClass(className).settings;
+    const { settings } = this.queue.getClass(className);
+    const { tier } = settings;
     this.emit({
       ...{ kind: 'enqueue', atMs: this.nowMs, attemptId, className, tier },
       ...{ fingerprint, excludedServerIds },
     });
-    const refusal = findRefusal(request, this.makeAdmissionInput());
+    const estimate = this.lengths.estimate(request);
+    const budgetMs = resolveBudgetMs(settings, request, estimate.longServiceMs);
+    const refusal = findRefusal(request, budgetMs, this.makeAdmissionInput());
     if (refusal !== undefined) {
       this.shed(attemptId, refusal);
       return;
     }
     this.limits.addAttempt(request.team);
     const constraint = makeConstraint(request, this.ledger);
-    this.queue.add(request, this.nowMs, { constraint, ...this.lengths.estimate(request) });
+    this.queue.add(request, this.nowMs, { constraint, ...estimate });
     this.shedExcess();
   }
 
--- a/packages/policy/test/scheduler.test.ts
+++ b/packages/policy/test/scheduler.test.ts
@@ -207,6 +207,37 @@
     return scheduler;
   }
 
+  // Guards against tokens spent on an answer that cannot end before its caller leaves.
+  test.each([
+    { name: 'a learned time of 3 s leaves 2 s of 5 s', serviceMs: 3000, shedAtMs: 2000 },
+    {
+      name: 'a learned time over 5 s leaves a quarter of the target',
+      serviceMs: 9000,
+      shedAtMs: 1000,
+    },
+    { name: 'a short learned time leaves the longest queue time', serviceMs: 100, shedAtMs: 4500 },
+  ])('a goodput class: $name', ({ serviceMs, shedAtMs }) => {
+    const settings = { preference: 'goodput', targetFirstByteMs: 4000, maxQueueMs: 4500 } as const;
+    const servers = [makeServer('s1', 16)];
+    const scheduler = createTestScheduler({ classes: [makeClass('quick', settings)], servers });
+    scheduler.enqueue(makeRequest('learned'), 0);
+    scheduler.takeDecisions(0);
+    finishAttempt(scheduler, 'learned', serviceMs);
+    const startMs = serviceMs;
+    for (let index = 0; index < 16; index += 1) {
+      scheduler.adopt({
+        ...{ attemptId: `holder-${index}`, serverId: 's1', className: 'quick', team: 'team-1' },
+        ...{ fingerprint: `hash-${index}`, grantedAtMs: startMs },
+      });
+    }
+    const times = { arrivedAtMs: startMs, expiresAtMs: startMs + 5000 };
+    scheduler.enqueue(makeRequest('waiting', { ...times, isRetry: true }), startMs);
+    const early = toText(scheduler.takeDecisions(startMs + shedAtMs - 1));
+    expect(early.filter((text) => text.startsWith('waiting'))).toEqual([]);
+    const due = toText(scheduler.takeDecisions(startMs + shedAtMs));
+    expect(due).toEqual(['waiting:queue-timeout']);
+  });
+
   // Guards against requests that wait in vain, and against goodput classes that are shed as early.
   test.each([
     ['attainment' as const, ['r2:queue-wait-over-budget', 'r3:queue-wait-over-budget']],
