--- a/packages/router/src/instance/instance-status.ts
+++ b/packages/router/src/instance/instance-status.ts
@@ -1,5 +1,6 @@
 import type { Settings } from '@pollendrum/protocol';
 import type { Member, RoutingView } from '../ports';
+import type { TrafficCounts } from '../telemetry/traffic-counter';
 import type { InstanceTasks } from './instance';
 
 /** Answer of `GET /admin/status`. */
@@ -11,6 +12,8 @@
   bundle: BundleStatus | undefined;
   members: readonly Member[];
   shards: ShardStatus[];
+  /** Traffic between instances since the start; undefined when it is not counted. */
+  control: { membership: TrafficCounts; links: TrafficCounts } | undefined;
 }
 
 export interface BundleStatus {
@@ -32,7 +35,7 @@
 /** Describes an instance to operators. */
 export function describeInstance(
   settings: Settings,
-  tasks: Pick<InstanceTasks, 'bundles' | 'membership' | 'routing'>,
+  tasks: Pick<InstanceTasks, 'bundles' | 'membership' | 'routing' | 'traffic'>,
   isDraining: boolean,
 ): InstanceStatus {
   const { instanceId, failureDomain, region } = settings;
@@ -44,9 +47,15 @@
     bundle: describeBundle(tasks),
     members: tasks.membership.getView().members,
     shards: listShards(tasks.routing.getView()),
+    control: describeTraffic(tasks),
   };
 }
 
+function describeTraffic({ traffic }: Pick<InstanceTasks, 'traffic'>): InstanceStatus['control'] {
+  if (traffic === undefined) return undefined;
+  return { membership: traffic.membership.getCounts(), links: traffic.links.getCounts() };
+}
+
 function describeBundle(tasks: Pick<InstanceTasks, 'bundles'>): BundleStatus | undefined {
   const active = tasks.bundles.getActive();
   if (active === undefined) return undefined;
--- a/packages/router/src/instance/instance.ts
+++ b/packages/router/src/instance/instance.ts
@@ -11,6 +11,7 @@
   RoutingPort,
   TelemetryPort,
 } from '../ports';
+import type { ControlTraffic } from '../telemetry/traffic-counter';
 import { GracefulShutdown } from './graceful-shutdown';
 import type { ShutdownStep, StepReport } from './graceful-shutdown';
 import { describeInstance } from './instance-status';
@@ -31,6 +32,8 @@
   claims: ClaimsPort & AsyncDisposable;
   outcomes: OutcomePort & AsyncDisposable;
   dispatcher: DispatcherTask;
+  /** Counters of what membership and links send and receive. */
+  traffic?: ControlTraffic;
 }
 
 export interface InstanceDependencies {
--- a/packages/router/src/instance/start-instance.ts
+++ b/packages/router/src/instance/start-instance.ts
@@ -27,6 +27,7 @@
 import { createRoutingTask } from '../routing';
 import type { RoutingTask } from '../routing';
 import { createTelemetry } from '../telemetry';
+import { TrafficCounter, type ControlTraffic } from '../telemetry/traffic-counter';
 import { createInstance } from './instance';
 import type { Instance, InstanceTasks } from './instance';
 
@@ -75,6 +76,7 @@
 interface PeerTasks {
   membership: MembershipTask;
   peers: LinkTask;
+  traffic: ControlTraffic;
 }
 
 async function startPeerTasks(
@@ -84,9 +86,11 @@
 ): Promise<PeerTasks> {
   const { instanceId, address, peerPort, failureDomain, region, httpPort } = settings;
   const { log, metrics } = telemetry;
+  const traffic = { membership: new TrafficCounter(), links: new TrafficCounter() };
   const membership = await createMembershipTask({
     self: { instanceId, address, peerPort, adminPort: httpPort, failureDomain, region },
     ...{ clusterKey, log, metrics, probeIntervalMs: settings.probeIntervalMs },
+    traffic: traffic.membership,
   });
   const peers = await createLinkTask({
     ...{ instanceId, address, failureDomain, clusterKey, log, metrics },
@@ -94,15 +98,16 @@
     port: membership.port,
     getMember: (id) => membership.getView().members.find((member) => member.instanceId === id),
     tls: readPeerTls(settings),
+    traffic: traffic.links,
   });
-  return { membership, peers };
+  return { membership, peers, traffic };
 }
 
 function startTasks(
   settings: Settings,
   telemetry: TelemetryPort,
   client: PlatformClient,
-  { membership, peers }: PeerTasks,
+  { membership, peers, traffic }: PeerTasks,
 ): InstanceTasks {
   const { log, metrics } = telemetry;
   const { instanceId } = settings;
@@ -133,7 +138,7 @@
     slotsPerServer: settings.slotsPerServer,
   });
   return {
-    ...{ peers, membership, instanceList, bundles, claims, outcomes },
+    ...{ peers, membership, traffic, instanceList, bundles, claims, outcomes },
     routing: Object.assign(routing, {
       async [Symbol.asyncDispose]() {
         await Promise.resolve(routing[Symbol.dispose]());
--- a/packages/router/src/link/connection.ts
+++ b/packages/router/src/link/connection.ts
@@ -111,7 +111,7 @@
   }
 
   writeFrame(frame: Buffer): void {
-    if (this.#state === 'established') this.#socket.write(frame);
+    if (this.#state === 'established') this.#sendFrame(frame);
   }
 
   /** The handler is told when the socket is gone. */
@@ -136,7 +136,9 @@
         return;
       }
     }
-    for (const message of this.#readMessages(chunk)) {
+    const messages = this.#readMessages(chunk);
+    this.#handshake.traffic?.recordReceived(chunk.length, messages.length);
+    for (const message of messages) {
       if (this.#socket.destroyed) return;
       if (isValidPeerMessage(message)) this.#handleMessage(message);
       else this.close('protocol-error');
@@ -218,8 +220,11 @@
 
   #sendHello(step: 'open' | 'accept' | 'confirm', peerNonce: string): void {
     const peer = this.instanceId ?? '';
-    this.#socket.write(
-      encodeFrame(buildHello(this.#handshake, step, peer, this.#nonce, peerNonce)),
-    );
+    this.#sendFrame(encodeFrame(buildHello(this.#handshake, step, peer, this.#nonce, peerNonce)));
+  }
+
+  #sendFrame(frame: Buffer): void {
+    this.#handshake.traffic?.recordSent(frame.length);
+    this.#socket.write(frame);
   }
 }
--- a/packages/router/src/link/handshake.ts
+++ b/packages/router/src/link/handshake.ts
@@ -1,5 +1,6 @@
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
 import type { Hello } from '@pollendrum/protocol';
+import type { TrafficCounter } from '../telemetry/traffic-counter';
 
 /** Version of the messages between instances; other versions are refused. */
 export const LINK_PROTOCOL_VERSION = 1;
@@ -13,6 +14,8 @@
   instanceId: string;
   failureDomain: string;
   clusterKey: string;
+  /** Counts frames; undefined: they are not counted. */
+  traffic?: TrafficCounter;
 }
 
 /** A hello whose proof was checked. */
--- a/packages/router/src/membership/membership-task.ts
+++ b/packages/router/src/membership/membership-task.ts
@@ -12,6 +12,7 @@
 import { decodeDatagram, encodeDatagram } from './datagram-codec';
 import { MembershipState } from './membership-state';
 import type { MembershipEffect, SelfDescription } from './membership-types';
+import type { TrafficCounter } from '../telemetry/traffic-counter';
 
 export interface MembershipTaskOptions {
   /** This instance; peerPort 0 takes any free port and announces it. */
@@ -20,6 +21,8 @@
   clusterKey: string;
   log: LogPort;
   metrics: MetricsPort;
+  /** Counts datagrams; undefined: they are not counted. */
+  traffic?: TrafficCounter;
   /**
    * Uniform in [0, 1).
    * @default Math.random
@@ -140,6 +143,7 @@
   }
 
   #handleBytes(bytes: Buffer, address: string, port: number): void {
+    this.#options.traffic?.recordReceived(bytes.length);
     const decoded = decodeDatagram(bytes, this.#options.clusterKey);
     if (decoded.kind === 'invalid') {
       this.#options.metrics.increment('membership.datagram_discarded', { fault: decoded.fault });
@@ -188,6 +192,7 @@
   #sendDatagram({ address, port, datagram }: Extract<MembershipEffect, { kind: 'send' }>): void {
     if (this.#isClosed) return;
     const bytes = encodeDatagram(datagram, this.#options.clusterKey);
+    this.#options.traffic?.recordSent(bytes.length);
     this.#options.metrics.increment('membership.sent_bytes', {}, bytes.length);
     this.#socket.send(bytes, port, address, (error) => {
       if (error) this.#options.log.debug(`datagram to ${address}:${port} failed: ${error.message}`);
