Measure the slopes of every role in one process

The page of the design size needs a slope for each line: scheduler, routing view, bundle, outcome records, claims, membership and the relay.

An import of the membership test's fleet was ruled out, because tests are not part of the program; bench has its own fleet with traffic, loss and cut measurements. The relay is measured on a whole instance as a process before engine stand-ins: one run with long and one with one-token answers give the cost of a token and of a request. Short steps are measured in processor time, because elapsed time depends on what else runs on the machine.

--- a/packages/bench/src/capacity/heap.ts
+++ b/packages/bench/src/capacity/heap.ts
@@ -10,12 +10,16 @@
   return process.memoryUsage().heapUsed;
 }
 
-/** Median of the time that `run` takes, in milliseconds. */
+/**
+ * Median of the processor time that `run` takes, in milliseconds. Other programs on the machine change it
+ * less than the elapsed time; garbage collection in other threads of this process is included.
+ */
 export function measureMedianMs(repeats: number, run: () => unknown): number {
   const times = Array.from({ length: repeats }, () => {
-    const startedAtMs = performance.now();
+    const startedAt = process.cpuUsage();
     run();
-    return performance.now() - startedAtMs;
+    const { user, system } = process.cpuUsage(startedAt);
+    return (user + system) / 1_000;
   });
   return times.sort((a, b) => a - b)[Math.floor(repeats / 2)] ?? Number.NaN;
 }
--- a/packages/bench/src/capacity/measurements.ts
+++ b/packages/bench/src/capacity/measurements.ts
@@ -1,11 +1,34 @@
+import { bundle } from './bundle';
+import { claims } from './claims';
 import { idleInstances } from './idle-instances';
 import type { Measurement } from './measurement';
+import { membership } from './membership';
+import { outcomes } from './outcomes';
+import { relay } from './relay';
+import { routing } from './routing';
+import { scheduler } from './scheduler';
 
 /** Every measurement, in the order in which they run. */
-export const MEASUREMENT_NAMES = ['idle-instances'] as const;
+export const MEASUREMENT_NAMES = [
+  'scheduler',
+  'routing',
+  'bundle',
+  'outcomes',
+  'claims',
+  'membership',
+  'relay',
+  'idle-instances',
+] as const;
 
 export type MeasurementName = (typeof MEASUREMENT_NAMES)[number];
 
 export const MEASUREMENTS: Record<MeasurementName, Measurement> = {
+  scheduler,
+  routing,
+  bundle,
+  outcomes,
+  claims,
+  membership,
+  relay,
   'idle-instances': idleInstances,
 };
