--- a/packages/bench/src/capacity/bundle.ts
+++ b/packages/bench/src/capacity/bundle.ts
@@ -1,4 +1,4 @@
-import { validateBundle } from '@pollendrum/platform';
+import { createBundleEnvelope, validateBundle } from '@pollendrum/platform';
 import { isValidBundle, parseJson } from '@pollendrum/protocol';
 import type { Bundle } from '@pollendrum/protocol';
 import { buildBundle } from './bundle-fixture';
@@ -26,10 +26,12 @@
   const parseMs = measureMedianMs(REPEATS, () => parseBundle(text));
   const operatorMs = measureMedianMs(REPEATS, () => validateBundle(text));
   const result = validateBundle(text);
+  const objectBytes = Buffer.byteLength(JSON.stringify(createBundleEnvelope(text)));
   const add = (name: string, value: number, unit: string) =>
     createFigure(`teams=${teamCount} ${name}`, value, unit);
   return [
     add('text', Buffer.byteLength(text) / MEGABYTE, 'MB'),
+    add('object in the platform, without signatures', objectBytes / MEGABYTE, 'MB'),
     add('text a team', Buffer.byteLength(text) / teamCount, 'B'),
     add('parsed, validated and indexed in', parseMs, 'ms'),
     add('full validation by an operator', operatorMs, 'ms'),
