Split the membership measurement into idle, loss and cut

At 530 simulated members one measurement ran for more than five minutes of processor time before it printed anything, so a stopped run lost all figures. A smaller fleet was ruled out, because the design size is what has to be simulated. The three parts are measurements of their own.

--- a/packages/bench/src/capacity/measurements.ts
+++ b/packages/bench/src/capacity/measurements.ts
@@ -2,7 +2,7 @@
 import { claims } from './claims';
 import { idleInstances } from './idle-instances';
 import type { Measurement } from './measurement';
-import { membership } from './membership';
+import { membership, membershipCut, membershipLoss } from './membership';
 import { outcomes } from './outcomes';
 import { relay } from './relay';
 import { routing } from './routing';
@@ -16,6 +16,8 @@
   'outcomes',
   'claims',
   'membership',
+  'membership-loss',
+  'membership-cut',
   'relay',
   'idle-instances',
 ] as const;
@@ -29,6 +31,8 @@
   outcomes,
   claims,
   membership,
+  'membership-loss': membershipLoss,
+  'membership-cut': membershipCut,
   relay,
   'idle-instances': idleInstances,
 };
--- a/packages/bench/src/capacity/membership.ts
+++ b/packages/bench/src/capacity/membership.ts
@@ -1,5 +1,5 @@
 import { measureHeapBytes } from './heap';
-import { createFigure, type Figure, type Measurement } from './measurement';
+import { createFigure, type Figure, type Measurement, type MeasurementScope } from './measurement';
 import { SimulatedFleet } from './simulated-fleet';
 
 const FULL_SIZE = 530;
@@ -12,23 +12,35 @@
 const CUT_MS = 60_000;
 const KILOBYTE = 1_000;
 
-/** Membership at the design size in one process and virtual time. */
+/** Idle membership at the design size in one process and virtual time. */
 export const membership: Measurement = {
-  description: 'membership of 530 simulated members in virtual time, every datagram encoded',
-  run: ({ scope }) => {
-    const size = scope === 'quick' ? QUICK_SIZE : FULL_SIZE;
-    const figures = [
-      ...measureIdle(size),
-      ...measureLoss(size, 1),
-      ...measureLoss(size, RACK_INSTANCES),
-      ...measureCut(size),
-    ];
-    return Promise.resolve(
-      figures.map(({ name, value, unit }) => createFigure(`n=${size} ${name}`, value, unit)),
-    );
-  },
+  description: 'membership of simulated members in virtual time, every datagram encoded',
+  run: ({ scope }) => Promise.resolve(toNamedFigures(scope, measureIdle)),
 };
 
+/** Loss of one instance and of a rack. */
+export const membershipLoss: Measurement = {
+  description: 'loss of 1 and of 35 simulated members at once',
+  run: ({ scope }) =>
+    Promise.resolve([
+      ...toNamedFigures(scope, (size) => measureLoss(size, 1)),
+      ...toNamedFigures(scope, (size) => measureLoss(size, RACK_INSTANCES)),
+    ]),
+};
+
+/** A region that is cut off and comes back. */
+export const membershipCut: Measurement = {
+  description: 'one of six regions cut off for 60 s, then healed',
+  run: ({ scope }) => Promise.resolve(toNamedFigures(scope, measureCut)),
+};
+
+function toNamedFigures(scope: MeasurementScope, measure: (size: number) => Figure[]): Figure[] {
+  const size = scope === 'quick' ? QUICK_SIZE : FULL_SIZE;
+  return measure(size).map(({ name, value, unit }) =>
+    createFigure(`n=${size} ${name}`, value, unit),
+  );
+}
+
 function measureIdle(size: number): Figure[] {
   const emptyBytes = measureHeapBytes();
   const fleet = new SimulatedFleet(size, 1);
