Move the relay measurement to the bench and separate light load

Cause: the former program measured the time to the first token with the caller in the router's thread, after 200 streams had run in the same process, so the caller's own work counted as the relay's. It also lived in a test folder and used the tests' fakes. Engine and callers run in threads of their own. Light load is one request at a time over warm connections; direct, bare relay and router take turns, so that other load on the machine reaches all three alike. Hop medians come from the outcome records. The bench needs createEntryTask, which packages/router/src/instance/index.ts now exports. The hop "connect" is the engine's whole response time, equal to a direct request: connections are reused.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,9 +1,13 @@
 import { parseArgs } from 'node:util';
+import { isMainThread, workerData } from 'node:worker_threads';
 import { runLoad } from './load/load';
 import type { LoadPacing } from './load/options';
 import { runPolicyCommand } from './policy/command';
+import { runRelayCommand } from './relay/command';
+import { startRelayWorker } from './relay/relay-worker';
+import type { RelayWorkerRole } from './relay/relay-worker';
 
-const COMMAND_NAMES = ['load', 'policy'] as const;
+const COMMAND_NAMES = ['load', 'policy', 'relay'] as const;
 type CommandName = (typeof COMMAND_NAMES)[number];
 
 /** Runs a command with the arguments after its name; resolves with the exit code. */
@@ -16,7 +20,11 @@
   override readonly name = 'UsageError';
 }
 
-const COMMANDS: Record<CommandName, Command> = { load: runLoadCommand, policy: runPolicyCommand };
+const COMMANDS: Record<CommandName, Command> = {
+  load: runLoadCommand,
+  policy: runPolicyCommand,
+  relay: runRelayCommand,
+};
 
 const LOAD_OPTIONS = {
   url: { type: 'string' },
@@ -93,6 +101,10 @@
   }
 }
 
-void runMain().then((code) => {
-  process.exitCode = code;
-});
+if (isMainThread) {
+  void runMain().then((code) => {
+    process.exitCode = code;
+  });
+} else {
+  startRelayWorker(workerData as RelayWorkerRole);
+}
--- a/packages/router/src/instance/index.ts
+++ b/packages/router/src/instance/index.ts
@@ -7,3 +7,5 @@
 export type { InstanceStatus } from './instance-status';
 export { watchSignals } from './signals';
 export type { SignalSource } from './signals';
+export { createEntryTask } from '../entry';
+export type { EntryOptions, EntryTask } from '../entry';
