--- a/packages/bench/src/relay/command.ts
+++ b/packages/bench/src/relay/command.ts
@@ -13,7 +13,7 @@
 const TOKENS = 400;
 const LIGHT_REQUESTS = 400;
 const LIGHT_WARMUPS = 200;
-const LIGHT_TOKENS = 2;
+const LIGHT_TOKENS = 1;
 const CLOCK_TICK_MS = 10;
 
 /** Relayed tokens with many streams at once. */
