--- a/packages/router/src/entry/caller-writer.ts
+++ b/packages/router/src/entry/caller-writer.ts
@@ -81,14 +81,7 @@
     const { response } = this.context;
     if (response.destroyed || response.writableEnded) return;
     this.#sendHead();
-    if (!response.chunkedEncoding) {
-      response.write(text);
-      return;
-    }
-    // Node writes the parts of an HTTP chunk separately; framed here, a chunk is one string and one write.
-    response.chunkedEncoding = false;
-    response.write(`${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`);
-    response.chunkedEncoding = true;
+    response.write(text);
   }
 
   #sendHead(): void {
@@ -96,8 +89,7 @@
     if (response.headersSent) return;
     response.setHeader('content-type', 'text/event-stream');
     response.setHeader('cache-control', 'no-cache');
-    // The head leaves with the first chunk.
-    response.writeHead(200);
+    response.statusCode = 200;
   }
 }
 
