Serve callers over TLS and reload key files without a restart

Cause: the settings `callerTls` were checked and then ignored, so callers were served in plain text, and the keys of links were read once. Change: with `callerTls` the entry serves HTTPS only; with a `caFile` it refuses callers without a certificate that these authorities signed. KeyFileWatcher looks at the files every 3 s (inode, modification time, size), checks that certificate, key and authorities can be used together, and hands new keys to the entry or the links. Unusable files keep the earlier keys and log an error. A TLS handshake may take 10 s instead of Node's 120. Errors of the handshake get no plain-text answer. Ruled out: file notifications, which miss mounted secrets that are replaced through links. No installed library makes certificates and node:crypto cannot, so two PEM files made by openssl are test fixtures. Open connections and links keep the keys they began with; only new ones use new keys. Conclusion: links between two tasks work with the same authority and are refused with another, on both sides.

--- a/packages/router/src/entry/entry-options.ts
+++ b/packages/router/src/entry/entry-options.ts
@@ -16,6 +16,14 @@
   tryRetry(className: string, percent: number, nowMs: number): boolean;
 }
 
+/** PEM texts. */
+export interface TlsKeys {
+  certificate: string;
+  key: string;
+  /** Authorities that may sign the other side; undefined: none are named. */
+  ca?: string;
+}
+
 /** What the entry needs from the other tasks. */
 export interface EntryOptions {
   settings: Settings;
@@ -37,6 +45,8 @@
    * @default settings.clusterKey
    */
   clusterKey?: string;
+  /** Serves callers over TLS; with `ca`, only callers with a certificate signed by it. Undefined: plain TCP. */
+  callerTls?: TlsKeys;
   /** Silence of an engine before its stream is checked. @default 2000 */
   stallMs?: number;
 }
--- a/packages/router/src/entry/entry-task.ts
+++ b/packages/router/src/entry/entry-task.ts
@@ -1,5 +1,4 @@
 import { randomUUID } from 'node:crypto';
-import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Cause } from '@pollendrum/protocol';
@@ -11,9 +10,10 @@
 import { findTeam, parseRequestId, resolveCaller } from './caller-identity';
 import { ChatFlow } from './chat-flow';
 import { parseChatRequest } from './chat-request';
-import type { EntryLimits, EntryOptions } from './entry-options';
+import type { EntryLimits, EntryOptions, TlsKeys } from './entry-options';
 import { resolveEntryLimits } from './entry-options';
 import { GrantClient } from './grant-client';
+import { createCallerServer, updateServerTls } from './http-server';
 import { serveOperator } from './operator-endpoint';
 import { RequestContext, RequestError } from './request-context';
 import { RequestLifecycle } from './request-state';
@@ -32,6 +32,8 @@
   waitIdle(limitMs: number): Promise<boolean>;
   /** Stops accepting connections; requests in flight go on. */
   closeListener(): void;
+  /** Replaces the keys for new connections; no effect when callers are served over plain TCP. */
+  updateTls(keys: TlsKeys): void;
 }
 
 const MAX_HEADER_BYTES = 16_384;
@@ -67,7 +69,7 @@
       chooseShard,
       failureDomain: settings.failureDomain,
     });
-    this.#server = createServer(
+    this.#server = createCallerServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         headersTimeout: Math.min(this.#limits.callerIdleTimeoutMs, MAX_HEADERS_TIMEOUT_MS),
@@ -76,6 +78,7 @@
         keepAliveTimeout: KEEP_ALIVE_MS,
         noDelay: true,
       },
+      options.callerTls,
       (request, response) => {
         void this.#handleRequest(request, response);
       },
@@ -120,6 +123,10 @@
     this.#server.closeIdleConnections();
   }
 
+  updateTls(keys: TlsKeys): void {
+    updateServerTls(this.#server, keys);
+  }
+
   async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = parseRequestId(request.headers) ?? randomUUID();
     response.setHeader('x-request-id', requestId);
@@ -275,7 +282,9 @@
 
 /** Answers a request that Node's parser refused. */
 function sendClientError(error: Error & { code?: string }, socket: Socket): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
+  // Only the parser's errors have a caller that can read an answer; a failed TLS handshake has none.
+  const isParserError = /^(HPE_|ERR_HTTP_)/.test(error.code ?? '');
+  if (!isParserError || !socket.writable) {
     socket.destroy();
     return;
   }
--- a/packages/router/src/entry/index.ts
+++ b/packages/router/src/entry/index.ts
@@ -1,6 +1,6 @@
 export { createEntryTask } from './entry-task';
 export type { EntryTask } from './entry-task';
-export type { EntryOptions, RetryBudget } from './entry-options';
+export type { EntryOptions, RetryBudget, TlsKeys } from './entry-options';
 export type { ErrorBody } from './error-replies';
 export type { ChooseShard } from './grant-client';
 export { computeOperatorToken } from './operator-endpoint';
--- a/packages/router/src/instance/instance.ts
+++ b/packages/router/src/instance/instance.ts
@@ -42,6 +42,8 @@
   /** Key read from settings.clusterKeyFile. */
   clusterKey?: string;
   listUnreadyReasons?: () => string[];
+  /** Keys towards callers; undefined: plain TCP. */
+  callerTls?: EntryOptions['callerTls'];
 }
 
 /** A running instance. Disposing stops it at once. */
@@ -76,6 +78,7 @@
     retryBudget: dependencies.retryBudget,
     hashToUint32: dependencies.hashToUint32,
     describeStatus: () => describeInstance(settings, tasks, isDraining()),
+    ...(dependencies.callerTls === undefined ? {} : { callerTls: dependencies.callerTls }),
     ...(dependencies.clusterKey === undefined ? {} : { clusterKey: dependencies.clusterKey }),
     ...(dependencies.listUnreadyReasons === undefined
       ? {}
--- a/packages/router/src/instance/start-instance.ts
+++ b/packages/router/src/instance/start-instance.ts
@@ -1,4 +1,3 @@
-import { readFileSync } from 'node:fs';
 import { createPlatformClient } from '@pollendrum/platform';
 import type { PlatformClient } from '@pollendrum/platform';
 import {
@@ -18,7 +17,7 @@
   createOutcomeTask,
 } from '../control';
 import { createDispatcherTask } from '../dispatcher';
-import type { ChooseShard } from '../entry';
+import type { ChooseShard, TlsKeys } from '../entry';
 import { createLinkTask } from '../link';
 import type { LinkTask, LinkTls } from '../link';
 import { createMembershipTask } from '../membership';
@@ -29,6 +28,7 @@
 import { createTelemetry } from '../telemetry';
 import { createInstance } from './instance';
 import type { Instance, InstanceTasks } from './instance';
+import { KeyFileWatcher } from './key-files';
 
 const DEFAULT_CLAIM_RETENTION_MS = 86_400_000;
 
@@ -50,7 +50,9 @@
 ): Promise<StartedInstance> {
   const telemetry = createTelemetry(settings);
   const client = createPlatformClient({ url: settings.platformUrl });
-  const base = await startPeerTasks(settings, clusterKey, telemetry);
+  const callerKeys = watchKeyFiles(settings, 'callerTls', telemetry);
+  const peerKeys = watchKeyFiles(settings, 'peerTls', telemetry);
+  const base = await startPeerTasks(settings, clusterKey, telemetry, peerKeys);
   const tasks = startTasks(settings, telemetry, client, base);
   const instance = await createInstance(settings, {
     telemetry,
@@ -59,12 +61,18 @@
     hashToUint32,
     chooseShard: createShardChooser(settings),
     retryBudget: createEntryRetryBudget(),
+    callerTls: callerKeys?.keys,
+  });
+  callerKeys?.watchKeys((keys) => {
+    instance.entry.updateTls(keys);
   });
   return {
     instance,
     telemetry,
     peerPort: base.peers.port,
     async [Symbol.asyncDispose]() {
+      callerKeys?.[Symbol.dispose]();
+      peerKeys?.[Symbol.dispose]();
       await instance[Symbol.asyncDispose]();
       await client[Symbol.asyncDispose]();
       await telemetry[Symbol.asyncDispose]();
@@ -81,6 +89,7 @@
   settings: Settings,
   clusterKey: string,
   telemetry: TelemetryPort,
+  keys: KeyFileWatcher | undefined,
 ): Promise<PeerTasks> {
   const { instanceId, address, peerPort, failureDomain, region, httpPort } = settings;
   const { log, metrics } = telemetry;
@@ -93,7 +102,10 @@
     // Links and membership share one port number, TCP and UDP.
     port: membership.port,
     getMember: (id) => membership.getView().members.find((member) => member.instanceId === id),
-    tls: readPeerTls(settings),
+    tls: keys && toLinkTls(keys.keys),
+  });
+  keys?.watchKeys((changed) => {
+    peers.updateTls(toLinkTls(changed));
   });
   return { membership, peers };
 }
@@ -186,13 +198,16 @@
   };
 }
 
-function readPeerTls(settings: Settings): LinkTls | undefined {
-  const files = settings.peerTls;
-  if (files === undefined) return undefined;
-  const read = (file: string) => readFileSync(file, 'utf8');
-  return {
-    certificate: read(files.certificateFile),
-    key: read(files.keyFile),
-    ca: read(files.caFile ?? files.certificateFile),
-  };
+function watchKeyFiles(
+  settings: Settings,
+  setting: 'callerTls' | 'peerTls',
+  { log }: TelemetryPort,
+): KeyFileWatcher | undefined {
+  const files = settings[setting];
+  return files && new KeyFileWatcher({ files, setting, log });
+}
+
+// Without a file of authorities all instances share one certificate that signed itself.
+function toLinkTls({ certificate, key, ca }: TlsKeys): LinkTls {
+  return { certificate, key, ca: ca ?? certificate };
 }
--- a/packages/router/src/link/link-task.ts
+++ b/packages/router/src/link/link-task.ts
@@ -5,7 +5,7 @@
 import { Connection, type CloseReason, type HelloDecision } from './connection';
 import type { HandshakeOptions } from './handshake';
 import { PeerLink } from './peer-link';
-import { connectSocket, openServer, type LinkTls } from './socket-factory';
+import { connectSocket, openServer, updateServerTls, type LinkTls } from './socket-factory';
 
 /** Period of pings on a link on which something is pending. */
 export const PING_INTERVAL_MS = 500;
@@ -48,6 +48,8 @@
   readonly port: number;
   /** Instances with an established link. */
   listLinked(): string[];
+  /** Replaces the keys for new links; no effect when links are plain TCP. */
+  updateTls(tls: LinkTls): void;
 }
 
 /**
@@ -67,6 +69,7 @@
   readonly #connections = new Set<Connection>();
   readonly #messageListeners = new Set<(instanceId: string, message: PeerMessage) => void>();
   readonly #lostListeners = new Set<(instanceId: string) => void>();
+  #tls: LinkTls | undefined;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #lastCheckMs = performance.now();
@@ -75,6 +78,7 @@
   constructor(options: LinkTaskOptions) {
     this.#options = options;
     this.instanceId = options.instanceId;
+    this.#tls = options.tls;
   }
 
   get port(): number {
@@ -82,8 +86,8 @@
   }
 
   async start(): Promise<void> {
-    const { address, port, tls, log } = this.#options;
-    this.#server = await openServer(address, port, tls, (socket) => {
+    const { address, port, log } = this.#options;
+    this.#server = await openServer(address, port, this.#tls, (socket) => {
       this.#connections.add(new Connection(socket, { kind: 'accepted' }, this.#options, this));
     });
     this.#server.on('error', (error) => {
@@ -99,6 +103,12 @@
     return [...this.#peers].filter(([, peer]) => peer.active !== undefined).map(([id]) => id);
   }
 
+  updateTls(tls: LinkTls): void {
+    if (this.#tls === undefined || this.#server === undefined) return;
+    this.#tls = tls;
+    updateServerTls(this.#server, tls);
+  }
+
   sendMessage(instanceId: string, message: PeerMessage): boolean {
     if (this.#isStopped) return false;
     if (instanceId === this.instanceId) {
@@ -232,7 +242,7 @@
     const member = this.#options.getMember(peer.instanceId);
     if (member === undefined) return;
     const direction = { kind: 'dialed', instanceId: peer.instanceId } as const;
-    const socket = connectSocket(member.address, member.peerPort, this.#options.tls, () => {
+    const socket = connectSocket(member.address, member.peerPort, this.#tls, () => {
       connection.startHandshake();
     });
     const connection = new Connection(socket, direction, this.#options, this);
--- a/packages/router/src/link/socket-factory.ts
+++ b/packages/router/src/link/socket-factory.ts
@@ -1,5 +1,9 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import { connect as connectTls, createServer as createTlsServer } from 'node:tls';
+import {
+  connect as connectTls,
+  createServer as createTlsServer,
+  Server as TlsServer,
+} from 'node:tls';
 import { once } from 'node:events';
 
 /** PEM texts. Both sides present a certificate that the authorities in `ca` signed. */
@@ -39,6 +43,12 @@
   return connectTls({ host: address, port, cert, key, ca, checkServerIdentity }, handleOpen);
 }
 
+/** New connections use the keys; open links go on with the keys they began with. */
+export function updateServerTls(server: Server, tls: LinkTls): void {
+  const { certificate: cert, key, ca } = tls;
+  if (server instanceof TlsServer) server.setSecureContext({ cert, key, ca });
+}
+
 function openTlsServer(tls: LinkTls, acceptSocket: (socket: Socket) => void): Server {
   const { certificate: cert, key, ca } = tls;
   const options = { cert, key, ca, requestCert: true, rejectUnauthorized: true };
