--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,10 +1,14 @@
 import { parseArgs } from 'node:util';
 import { runCapacityCommand } from './capacity/command';
+import { isMainThread, workerData } from 'node:worker_threads';
 import { runLoad } from './load/load';
 import type { LoadPacing } from './load/options';
 import { runPolicyCommand } from './policy/command';
+import { runRelayCommand } from './relay/command';
+import { startRelayWorker } from './relay/relay-worker';
+import type { RelayWorkerRole } from './relay/relay-worker';
 
-const COMMAND_NAMES = ['load', 'policy', 'capacity'] as const;
+const COMMAND_NAMES = ['load', 'policy', 'capacity', 'relay'] as const;
 type CommandName = (typeof COMMAND_NAMES)[number];
 
 /** Runs a command with the arguments after its name; resolves with the exit code. */
@@ -21,6 +25,7 @@
   load: runLoadCommand,
   policy: runPolicyCommand,
   capacity: runCapacityCommand,
+  relay: runRelayCommand,
 };
 
 const LOAD_OPTIONS = {
@@ -98,6 +103,10 @@
   }
 }
 
-void runMain().then((code) => {
-  process.exitCode = code;
-});
+if (isMainThread) {
+  void runMain().then((code) => {
+    process.exitCode = code;
+  });
+} else {
+  startRelayWorker(workerData as RelayWorkerRole);
+}
