--- a/packages/cli/src/commands/bundle-new.ts
+++ b/packages/cli/src/commands/bundle-new.ts
@@ -1,7 +1,8 @@
 import { createHash } from 'node:crypto';
 import { Args, Flags } from '@oclif/core';
+import { createStarterBundle } from '@pollendrum/platform';
 import { BaseCommand } from '../base-command';
-import { createStarterBundle, writeJsonFile } from '../bundles/bundle-files';
+import { writeJsonFile } from '../bundles/bundle-files';
 
 /** `bundle new FILE` */
 export class BundleNew extends BaseCommand {
--- a/packages/cli/test/bundle-diff.test.ts
+++ b/packages/cli/test/bundle-diff.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from 'vitest';
 import { diffBundles } from '../src/bundles/bundle-diff';
-import { createStarterBundle } from '../src/bundles/bundle-files';
+import { createStarterBundle } from '@pollendrum/platform';
 
 const before = createStarterBundle(1, 'a'.repeat(64));
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,4 +7,5 @@
 export * from './claims/keys';
 export * from './bundles/bundle-store';
 export * from './bundles/envelope';
+export * from './bundles/starter-bundle';
 export * from './bundles/validate-bundle';
