--- a/packages/bench/src/smoke/run.ts
+++ b/packages/bench/src/smoke/run.ts
@@ -11,8 +11,8 @@
 
 const TEAM_KEY = 'smoke-team-key';
 const MAX_TOKENS = 32;
-/** A repeated order that finds the first still running is answered 409 `in_progress`. */
-const IN_PROGRESS_STATUS = 409;
+/** Code of the refusal of a repeated order whose first one is still running. */
+const IN_PROGRESS_CODE = 'in_progress';
 
 /** Size of a smoke run. */
 export interface SmokeOptions {
@@ -73,9 +73,9 @@
   await using fleet = await startFleet({ instances, engines, teamKey: TEAM_KEY, engineSlots: 8 });
   const pids = fleet.instances.map((instance) => instance.pid);
   const direct = await runChats(fleet.engines.map(makeUrl), chats, concurrency);
-  const beforeMs = sumProcessorMs(pids);
+  const beforeMs = computeProcessorMs(pids);
   const routed = await runChats(fleet.instances.map(makeUrl), chats, concurrency);
-  const usedMs = sumProcessorMs(pids) - beforeMs;
+  const usedMs = computeProcessorMs(pids) - beforeMs;
   const orderResult = await runOrders(fleet, orders, repeatedOrders, concurrency);
   const ran = orderResult.keysByRuns['1'] ?? 0;
   return {
@@ -137,7 +137,7 @@
   result: LoadResult,
   runsByKey: Record<string, number>,
 ): SmokeResult['orders'] {
-  const inProgress = result.failed.filter((failure) => failure.status === IN_PROGRESS_STATUS);
+  const inProgress = result.failed.filter((failure) => failure.code === IN_PROGRESS_CODE);
   const keysByRuns: Record<string, number> = {};
   for (const runs of Object.values(runsByKey)) {
     keysByRuns[runs.toString()] = (keysByRuns[runs.toString()] ?? 0) + 1;
@@ -192,7 +192,7 @@
   return { sent, answered, mismatched, failed, tokens, firstTokenMs, tokenGapMs };
 }
 
-function sumProcessorMs(pids: readonly number[]): number {
+function computeProcessorMs(pids: readonly number[]): number {
   return pids.reduce((total, pid) => total + readProcessorMs(pid), 0);
 }
 
