--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,11 +4,7 @@
 import { runLoad } from './load/load';
 import type { LoadPacing } from './load/options';
 import { runPolicyCommand } from './policy/command';
-import { runRelayCommand } from './relay/command';
-import { startRelayWorker } from './relay/relay-worker';
-import type { RelayWorkerRole } from './relay/relay-worker';
-
-const COMMAND_NAMES = ['load', 'policy', 'capacity', 'relay'] as const;
+const COMMAND_NAMES = ['load', 'policy', 'capacity', 'relay', 'smoke'] as const;
 type CommandName = (typeof COMMAND_NAMES)[number];
 
 /** Runs a command with the arguments after its name; resolves with the exit code. */
@@ -26,6 +22,7 @@
   policy: runPolicyCommand,
   capacity: runCapacityCommand,
   relay: runRelayCommand,
+  smoke: runSmokeCommand,
 };
 
 const LOAD_OPTIONS = {
