Add the fault matrix with its first cells

Cause: the design asks for a matrix of every fault at every step, checked from what callers and backend servers saw. Only the load tool and the stand-ins existed.

Ruled out: a relay between instances for silent links.

Change: tables of faults and steps, a fleet of processes for each cell, one driver, one checker, and the command matrix.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,9 +1,10 @@
 import { parseArgs } from 'node:util';
 import { runLoad } from './load/load';
 import type { LoadPacing } from './load/options';
+import { runMatrixCommand } from './matrix/command';
 import { runPolicyCommand } from './policy/command';
 
-const COMMAND_NAMES = ['load', 'policy'] as const;
+const COMMAND_NAMES = ['load', 'policy', 'matrix'] as const;
 type CommandName = (typeof COMMAND_NAMES)[number];
 
 /** Runs a command with the arguments after its name; resolves with the exit code. */
@@ -16,7 +17,11 @@
   override readonly name = 'UsageError';
 }
 
-const COMMANDS: Record<CommandName, Command> = { load: runLoadCommand, policy: runPolicyCommand };
+const COMMANDS: Record<CommandName, Command> = {
+  load: runLoadCommand,
+  policy: runPolicyCommand,
+  matrix: runMatrixCommand,
+};
 
 const LOAD_OPTIONS = {
   url: { type: 'string' },
--- /dev/null
+++ b/packages/bench/src/matrix/causes.ts
@@ -0,0 +1,122 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { OutcomeRecord } from '@pollendrum/protocol';
+import type { Observation } from './caller';
+import type { CellContext } from './cell';
+import type { CauseKind } from './faults';
+import { getJson } from './http';
+import { CLASSES, computeOperatorHeaders } from './operators';
+
+const CAUSE_LIMIT_MS = 10_000;
+const RETRY_DELAY_MS = 300;
+const PARALLEL_LOOKUPS = 8;
+/** Difference between the caller's and the entry's measurement on a busy machine. */
+const LATE_TOLERANCE_MS = 100;
+/** A resent order may meet the claim of the first sending. */
+const RESEND_CAUSES: readonly CauseKind[] = ['duplicate-key'];
+
+/** Checks that every request that did not go well has a recorded cause that fits the fault. */
+export async function checkCauses(context: CellContext): Promise<string[]> {
+  const waiting = context.traffic.observations.filter(isExplainable);
+  const findings: string[] = [];
+  const runLookups = async () => {
+    for (let next = waiting.shift(); next; next = waiting.shift()) {
+      const finding = await checkCause(context, next);
+      if (finding !== undefined) findings.push(finding);
+    }
+  };
+  await Promise.all(Array.from({ length: PARALLEL_LOOKUPS }, runLookups));
+  return findings;
+}
+
+/** Shed, failed, unknown, cut off or late for its caller; a request that was never sent has no record. */
+function isExplainable(observation: Observation): boolean {
+  switch (observation.result.kind) {
+    case 'answered':
+      return describeLateness(observation) !== undefined;
+    case 'error':
+    case 'broken':
+    case 'timeout':
+    case 'mismatched':
+      return true;
+    case 'unreachable':
+      return false;
+  }
+}
+
+function describeLateness(observation: Observation): string | undefined {
+  const serviceClass = CLASSES.find(({ name }) => name === observation.className);
+  if (!serviceClass) return undefined;
+  const { sentAtMs, endedAtMs, firstByteAtMs = endedAtMs, lastTokenAtMs, tokens } = observation;
+  const firstMs = firstByteAtMs - sentAtMs;
+  if (firstMs > serviceClass.targetFirstByteMs + LATE_TOLERANCE_MS)
+    return `first byte ${firstMs} ms`;
+  const { targetTokenGapMs } = serviceClass;
+  if (lastTokenAtMs === undefined || targetTokenGapMs === undefined || tokens < 2) return undefined;
+  const meanGapMs = (lastTokenAtMs - firstByteAtMs) / (tokens - 1);
+  const isSlow =
+    lastTokenAtMs - firstByteAtMs > targetTokenGapMs * (tokens - 1) + LATE_TOLERANCE_MS;
+  return isSlow ? `mean gap ${meanGapMs.toFixed(0)} ms` : undefined;
+}
+
+async function checkCause(
+  context: CellContext,
+  observation: Observation,
+): Promise<string | undefined> {
+  const { step, fault } = context;
+  const allowed = new Set([
+    ...fault.allowedCauses,
+    ...step.allowedCauses,
+    ...(observation.isResend ? RESEND_CAUSES : []),
+  ]);
+  const found = await findCauses(context, observation);
+  if (found.length === 0) return `no cause for ${describeObservation(observation)}`;
+  if (found.some((kind) => allowed.has(kind))) return undefined;
+  return `cause ${found.join(', ')} does not fit ${describeObservation(observation)}`;
+}
+
+export function describeObservation(observation: Observation): string {
+  const { requestId, kind, className, instanceId, result } = observation;
+  const lateness = describeLateness(observation);
+  const late = result.kind === 'answered' && lateness !== undefined ? ` late, ${lateness}` : '';
+  const detail = describeResult(observation);
+  const afterMs = observation.endedAtMs - observation.sentAtMs;
+  return `${requestId} (${kind} ${className} at ${instanceId}, ${detail}${late}, after ${afterMs} ms)`;
+}
+
+function describeResult({ result }: Observation): string {
+  switch (result.kind) {
+    case 'error':
+      return `error ${result.status} ${result.code}`;
+    case 'broken':
+      return `broken ${result.code}`;
+    case 'mismatched':
+      return `mismatched: ${result.detail}`;
+    case 'answered':
+    case 'unreachable':
+    case 'timeout':
+      return result.kind;
+  }
+}
+
+/** Asks the surviving instances until one knows a cause, for at most 10 s after the request ended. */
+async function findCauses(context: CellContext, observation: Observation): Promise<CauseKind[]> {
+  const deadlineMs = Date.now() + CAUSE_LIMIT_MS;
+  for (;;) {
+    const kinds = await fetchCauses(context, observation.requestId);
+    if (kinds.length > 0 || Date.now() > deadlineMs) return kinds;
+    await sleep(RETRY_DELAY_MS);
+  }
+}
+
+async function fetchCauses(context: CellContext, requestId: string): Promise<CauseKind[]> {
+  const { fleet } = context;
+  const headers = computeOperatorHeaders(fleet.clusterKey);
+  for (const instance of fleet.listMembers('instance')) {
+    if (instance.endedAtMs !== undefined) continue;
+    const url = `${instance.url}/admin/outcomes/${requestId}`;
+    const reply = await getJson<{ records: OutcomeRecord[] }>(url, headers).catch(() => undefined);
+    const kinds = (reply?.records ?? []).flatMap(({ cause }) => (cause ? [cause.kind] : []));
+    if (kinds.length > 0) return kinds;
+  }
+  return [];
+}
