Give up an attempt whose engine does not know the stream

After 2 s without a byte the entry asks the engine for the stream on a fresh connection; the answer 'unknown stream' was treated as 'known and slow', so the entry waited on.

Ruled out: the stand-in (it answers 404 for a stream it never got) and the caller (its connection was open). Ending the attempt as lost was ruled out because its cause would name a backend error that did not happen.

Change: an unknown stream on a silent connection ends the attempt as silent, which allows one further attempt.

Conclusion: a request lost with its connection is run on another engine after about 2 s.

--- a/packages/router/src/backend/stream-relay.ts
+++ b/packages/router/src/backend/stream-relay.ts
@@ -252,10 +252,12 @@
       case 'unreachable':
         return { kind: 'silent', silentMs: performance.now() - stalledSinceMs };
       case 'unknown-stream':
+        // The request was lost with its connection, or the engine has restarted: nothing will come.
+        return { kind: 'silent', silentMs: performance.now() - stalledSinceMs };
       case 'known':
         // The engine has generated nothing new: it is slow, and the open connection stays in use.
         this.#lastByteAtMs = performance.now();
-        if (status.kind === 'known' && this.#isBehind(status.offset, status.done)) {
+        if (this.#isBehind(status.offset, status.done)) {
           return await this.#resume();
         }
         return undefined;
--- a/packages/router/test/backend/fake-engine.ts
+++ b/packages/router/test/backend/fake-engine.ts
@@ -22,6 +22,8 @@
   skip?: number;
   /** Never ends the pause before the first chunk. */
   hang?: boolean;
+  /** The request is lost on a silent connection; the engine never learns of it. */
+  isLost?: boolean;
 }
 
 interface Attempt {
@@ -80,6 +82,7 @@
       response.writeHead(status, { 'content-type': 'application/json' }).end('{"bad":true}');
       return;
     }
+    if (this.behaviour.isLost) return;
     this.#attempts.set(attemptId, { words, produced: 0 });
     if (hang) return;
     if (crashAfter === 0) {
--- a/packages/router/test/entry/chat-outcomes.test.ts
+++ b/packages/router/test/entry/chat-outcomes.test.ts
@@ -51,6 +51,12 @@
       content: 'abcd',
       finishes: ['server-refused', 'completed'],
     },
+    {
+      name: 'request lost on a silent connection',
+      first: { isLost: true },
+      content: 'abcd',
+      finishes: ['server-silent', 'completed'],
+    },
     {
       name: 'crash before the first token',
       first: { crashAfter: 0 },
