--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,8 +3,9 @@
 import { isMainThread, workerData } from 'node:worker_threads';
 import { runLoad } from './load/load';
 import type { LoadPacing } from './load/options';
+import { runMatrixCommand } from './matrix/command';
 import { runPolicyCommand } from './policy/command';
-const COMMAND_NAMES = ['load', 'policy', 'capacity', 'relay', 'smoke'] as const;
+const COMMAND_NAMES = ['load', 'policy', 'capacity', 'relay', 'smoke', 'matrix'] as const;
 type CommandName = (typeof COMMAND_NAMES)[number];
 
 /** Runs a command with the arguments after its name; resolves with the exit code. */
@@ -23,6 +24,7 @@
   capacity: runCapacityCommand,
   relay: runRelayCommand,
   smoke: runSmokeCommand,
+  matrix: runMatrixCommand,
 };
 
 const LOAD_OPTIONS = {
