--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -5,7 +5,15 @@
 import type { LoadPacing } from './load/options';
 import { runMatrixCommand } from './matrix/command';
 import { runPolicyCommand } from './policy/command';
-const COMMAND_NAMES = ['load', 'policy', 'capacity', 'relay', 'smoke', 'matrix'] as const;
+const COMMAND_NAMES = [
+  'load',
+  'policy',
+  'capacity',
+  'relay',
+  'smoke',
+  'matrix',
+  'timings',
+] as const;
 type CommandName = (typeof COMMAND_NAMES)[number];
 
 /** Runs a command with the arguments after its name; resolves with the exit code. */
@@ -25,6 +33,7 @@
   relay: runRelayCommand,
   smoke: runSmokeCommand,
   matrix: runMatrixCommand,
+  timings: runTimingsCommand,
 };
 
 const LOAD_OPTIONS = {
