--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,10 +1,16 @@
 import { parseArgs } from 'node:util';
-import { runCapacityCommand } from './capacity/command';
 import { isMainThread, workerData } from 'node:worker_threads';
+import { runCapacityCommand } from './capacity/command';
 import { runLoad } from './load/load';
 import type { LoadPacing } from './load/options';
 import { runMatrixCommand } from './matrix/command';
 import { runPolicyCommand } from './policy/command';
+import { runRelayCommand } from './relay/command';
+import { startRelayWorker } from './relay/relay-worker';
+import type { RelayWorkerRole } from './relay/relay-worker';
+import { runSmokeCommand } from './smoke/command';
+import { runTimingsCommand } from './timings/command';
+
 const COMMAND_NAMES = [
   'load',
   'policy',
--- a/packages/cli/test/status-tables.test.ts
+++ b/packages/cli/test/status-tables.test.ts
@@ -7,6 +7,7 @@
   ...{ instanceId: 'entry-1', failureDomain: 'juazeiro', region: 'nordeste', isDraining: true },
   bundle: { number: 7, digest: 'd', confirmedByPlatform: false, bundleAsOf: 0 },
   members: [],
+  control: undefined,
   shards: [
     {
       ...{ poolId: 'model:advisor', shardIndex: 0, shardCount: 1, ownerInstanceId: undefined },
