Answer hostile and broken requests by the error body, and never inside another answer

Ruled out: finishing the first answer before the connection is closed. A caller that sends garbage is cut off instead, and its request is recorded once, as cancelled. Change: parser errors are answered only when no whole request is open on the connection, with the id of the request whose body failed. More than 128 levels of nesting are refused before parsing. The entry accepts a missing Host, ignores unknown expectations, and sends 100 only when it wants the body. Headers are bounded by bytes alone, because Node silently drops those over its count. Remains: a request whose body the parser refused is answered 400 but recorded as cancelled. A body that arrives byte by byte is bounded only by Node's request timeout of 300 s.

--- a/packages/router/src/entry/body-reader.ts
+++ b/packages/router/src/entry/body-reader.ts
@@ -9,6 +9,8 @@
   const { request, limits } = context;
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   if (declaredBytes > limits.maxBodyBytes) throw createTooLarge(limits.maxBodyBytes);
+  // Node adds `100-continue` requests only to a listener, so the invitation is sent here, once the body is wanted.
+  if (/^100-continue$/i.test(request.headers.expect ?? '')) context.response.writeContinue();
   return await new Promise<Buffer>((resolve, reject) => {
     const chunks: Buffer[] = [];
     let size = 0;
--- a/packages/router/src/entry/chat-request.ts
+++ b/packages/router/src/entry/chat-request.ts
@@ -23,6 +23,8 @@
 
 const SOURCE = 'body';
 const ROLES: ReadonlySet<unknown> = new Set(['system', 'developer', 'user', 'assistant', 'tool']);
+// JSON.stringify and the search for places recurse; a few thousand levels exhaust the stack.
+const MAX_NESTING = 128;
 const CHARACTERS_PER_TOKEN = 4;
 const PREFIX_CHARACTERS = 1_024;
 
@@ -32,6 +34,10 @@
   if (text === undefined) {
     return { ok: false, findings: [{ pointer: '', message: 'must be UTF-8', source: SOURCE }] };
   }
+  if (hasDeepNesting(text)) {
+    const message = `must not be nested more than ${MAX_NESTING} levels deep`;
+    return { ok: false, findings: [{ pointer: '', message, source: SOURCE }] };
+  }
   const value = parseText(text);
   if (value === undefined) return { ok: false, findings: collectSyntaxFindings(text) };
   const problems = checkChat(value);
@@ -56,6 +62,23 @@
   }
 }
 
+/** Whether brackets outside of strings are nested too deep; the text need not be valid JSON. */
+function hasDeepNesting(text: string): boolean {
+  let depth = 0;
+  let isString = false;
+  for (let index = 0; index < text.length; index += 1) {
+    const character = text[index] ?? '';
+    if (isString) {
+      if (character === '\\') index += 1;
+      else isString = character !== '"';
+    } else if (character === '"') isString = true;
+    else if (character === '[' || character === '{') depth += 1;
+    else if (character === ']' || character === '}') depth -= 1;
+    if (depth > MAX_NESTING) return true;
+  }
+  return false;
+}
+
 function parseText(text: string): unknown {
   try {
     return JSON.parse(text) as unknown;
--- a/packages/router/src/entry/entry-task.ts
+++ b/packages/router/src/entry/entry-task.ts
@@ -15,6 +15,7 @@
 import { GrantClient } from './grant-client';
 import { createCallerServer, updateServerTls } from './http-server';
 import { serveOperator } from './operator-endpoint';
+import { ParserErrorReplies } from './parser-errors';
 import { RequestContext, RequestError } from './request-context';
 import { RequestLifecycle } from './request-state';
 import { ServiceFlow } from './service-flow';
@@ -57,6 +58,7 @@
   readonly #grants: GrantClient;
   readonly #engine = new EngineClient(this.#pools);
   readonly #services = new ServiceClient(this.#pools);
+  readonly #parserErrors = new ParserErrorReplies();
   #inFlight = 0;
   #stoppingSinceMs: number | undefined;
 
@@ -77,6 +79,8 @@
         connectionsCheckingInterval: TIMEOUT_CHECK_MS,
         keepAliveTimeout: KEEP_ALIVE_MS,
         noDelay: true,
+        // Nothing depends on Host, and Node's own refusal has no error body.
+        requireHostHeader: false,
       },
       options.callerTls,
       (request, response) => {
@@ -84,7 +88,17 @@
       },
     );
     this.#server.maxConnections = this.#limits.maxConnections;
-    this.#server.on('clientError', sendClientError);
+    // Node drops headers over its count without a word; the header bytes are bounded anyway.
+    this.#server.maxHeadersCount = 0;
+    // Node's own answers to Expect have no error body; an unknown expectation is not met, which RFC 9110 allows.
+    for (const event of ['checkContinue', 'checkExpectation'] as const) {
+      this.#server.on(event, (request, response) => {
+        void this.#handleRequest(request, response);
+      });
+    }
+    this.#server.on('clientError', (error, socket) => {
+      this.#parserErrors.sendError(error, socket as Socket);
+    });
   }
 
   get port(): number {
@@ -128,6 +142,7 @@
   }
 
   async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#parserErrors.observeRequest(request, response);
     const requestId = parseRequestId(request.headers) ?? randomUUID();
     response.setHeader('x-request-id', requestId);
     if (this.#stoppingSinceMs !== undefined) response.setHeader('connection', 'close');
@@ -279,37 +294,3 @@
     await this.#pools[Symbol.asyncDispose]();
   }
 }
-
-/** Answers a request that Node's parser refused. */
-function sendClientError(error: Error & { code?: string }, socket: Socket): void {
-  // Only the parser's errors have a caller that can read an answer; a failed TLS handshake has none.
-  const isParserError = /^(HPE_|ERR_HTTP_)/.test(error.code ?? '');
-  if (!isParserError || !socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const status = toParserStatus(error.code);
-  const finding = { pointer: '', message: error.message, source: 'headers' };
-  const body = JSON.stringify({
-    error: {
-      code: 'bad_request',
-      message: 'the request could not be read',
-      request_id: randomUUID(),
-      cause: { kind: 'bad-request', findings: [finding] },
-      not_run: true,
-    },
-  });
-  const head = `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nConnection: close\r\n`;
-  socket.end(`${head}Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
-}
-
-function toParserStatus(code: string | undefined): string {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW':
-      return '431 Request Header Fields Too Large';
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return '408 Request Timeout';
-    default:
-      return '400 Bad Request';
-  }
-}
--- /dev/null
+++ b/packages/router/test/entry/limits.test.ts
@@ -0,0 +1,232 @@
+import { connect } from 'node:net';
+import { afterAll, beforeAll, expect, test } from 'vitest';
+import { FakeEngine } from '../backend/fake-engine';
+import { chatBody, createHarness, createServer, KEY, settings, waitUntil } from './fakes';
+import type { Harness } from './fakes';
+import { parseAnswer, sendRaw } from './raw-caller';
+
+let engine: FakeEngine;
+let harness: Harness;
+
+beforeAll(async () => {
+  engine = new FakeEngine();
+  const server = createServer('engine-1', await engine.start());
+  harness = await createHarness([server], { settings: { ...settings, maxBodyBytes: 400_000 } });
+});
+
+afterAll(async () => {
+  await harness[Symbol.asyncDispose]();
+  engine.stop();
+});
+
+const AUTH = `Authorization: Bearer ${KEY}\r\n`;
+const HOST = 'Host: a\r\n';
+
+function buildChat(body: string, headers = ''): string {
+  const length = `Content-Length: ${Buffer.byteLength(body, 'latin1')}\r\n`;
+  return `POST /v1/chat/completions HTTP/1.1\r\n${HOST}${AUTH}${length}${headers}\r\n${body}`;
+}
+
+function buildHead(method: string, path: string, headers = HOST + AUTH): string {
+  return `${method} ${path} HTTP/1.1\r\n${headers}\r\n`;
+}
+
+const whole = JSON.stringify(chatBody);
+const deep = `{"model":"facet","messages":[{"role":"user","content":${'['.repeat(150_000)}${']'.repeat(150_000)}}]}`;
+const surrogate = '{"model":"facet","messages":[{"role":"user","content":"\\ud800 x"}]}';
+const manyHeaders = Array.from({ length: 2_500 }, () => 'a:\r\n').join('');
+const longId = `X-Request-Id: ${'i'.repeat(65)}\r\n`;
+
+interface AnswerCase {
+  name: string;
+  sent: string;
+  status: number;
+  code?: string;
+}
+
+// Guards against answers without the error body of section 4, which callers cannot act on, and against
+// requests that end as an internal error.
+test.each<AnswerCase>([
+  {
+    name: 'a header over the limit',
+    sent: buildChat(whole, `x: ${'x'.repeat(20_000)}\r\n`),
+    status: 431,
+    code: 'bad_request',
+  },
+  { name: 'garbage', sent: '\x00\x01garbage\r\n\r\n', status: 400, code: 'bad_request' },
+  {
+    name: 'no Host',
+    sent: buildHead('GET', '/v1/none', AUTH),
+    status: 404,
+    code: 'unknown_service',
+  },
+  {
+    name: 'two lengths',
+    sent: buildChat(whole, 'Content-Length: 1\r\n'),
+    status: 400,
+    code: 'bad_request',
+  },
+  {
+    name: 'length and chunks',
+    sent: buildChat(whole, 'Transfer-Encoding: chunked\r\n'),
+    status: 400,
+    code: 'bad_request',
+  },
+  {
+    name: 'bad chunk',
+    sent: `POST /v1/chat/completions HTTP/1.1\r\n${HOST}${AUTH}Transfer-Encoding: chunked\r\n\r\nzz\r\n`,
+    status: 400,
+    code: 'bad_request',
+  },
+  { name: 'an array', sent: buildChat('[1]'), status: 400, code: 'bad_request' },
+  { name: 'a number', sent: buildChat('7'), status: 400, code: 'bad_request' },
+  { name: 'null', sent: buildChat('null'), status: 400, code: 'bad_request' },
+  { name: 'deep nesting', sent: buildChat(deep), status: 400, code: 'bad_request' },
+  {
+    name: 'deep nesting without end',
+    sent: buildChat('['.repeat(300_000)),
+    status: 400,
+    code: 'bad_request',
+  },
+  { name: 'a lone surrogate', sent: buildChat(surrogate), status: 200 },
+  {
+    name: 'a surrogate in UTF-8',
+    sent: buildChat('{"model":"\xed\xa0\x80"}'),
+    status: 400,
+    code: 'bad_request',
+  },
+  { name: 'a long request id', sent: buildChat(whole, longId), status: 200 },
+  {
+    name: 'many headers before the key',
+    sent: `POST /v1/chat/completions HTTP/1.1\r\n${HOST}${manyHeaders}${AUTH}Content-Length: ${whole.length}\r\n\r\n${whole}`,
+    status: 200,
+  },
+  {
+    name: 'two request ids',
+    sent: buildChat(whole, 'X-Request-Id: a\r\nX-Request-Id: b\r\n'),
+    status: 200,
+  },
+  {
+    name: 'two classes',
+    sent: buildChat(whole, 'X-Service-Class: quick\r\nX-Service-Class: short\r\n'),
+    status: 403,
+    code: 'forbidden_class',
+  },
+  {
+    name: 'two idempotency keys',
+    sent: buildHead(
+      'POST',
+      '/services/orders/place',
+      `${HOST}${AUTH}Idempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n`,
+    ),
+    status: 400,
+    code: 'missing_key',
+  },
+  {
+    name: 'an upgrade',
+    sent: buildChat(whole, 'Connection: Upgrade\r\nUpgrade: websocket\r\n'),
+    status: 200,
+  },
+  { name: 'an unknown expectation', sent: buildChat(whole, 'Expect: cake\r\n'), status: 200 },
+  { name: 'OPTIONS', sent: buildHead('OPTIONS', '*'), status: 404, code: 'unknown_service' },
+  {
+    name: 'OPTIONS of a service',
+    sent: buildHead('OPTIONS', '/services/orders/a'),
+    status: 404,
+    code: 'unknown_service',
+  },
+  {
+    name: 'dots',
+    sent: buildHead('GET', '/services/orders/a/../place'),
+    status: 400,
+    code: 'bad_request',
+  },
+  {
+    name: 'encoded dots',
+    sent: buildHead('GET', '/services/orders/%2e%2e/x'),
+    status: 400,
+    code: 'bad_request',
+  },
+  {
+    name: 'a backslash',
+    sent: buildHead('GET', '/services/orders/a%5c..%5cb'),
+    status: 400,
+    code: 'bad_request',
+  },
+])('$name is answered $status', async ({ sent, status, code }) => {
+  const recordsBefore = harness.outcomes.records.length;
+  const answer = parseAnswer(await sendRaw(harness.entry.port, [sent]));
+  expect(answer.status).toBe(status);
+  if (code !== undefined) {
+    const { error } = JSON.parse(answer.body) as { error: Record<string, unknown> };
+    expect(error).toMatchObject({ code, not_run: true, cause: { kind: expect.any(String) } });
+    expect(error['request_id']).toMatch(/^[A-Za-z0-9._-]{1,64}$/);
+  }
+  // The record of a caller that was cut off follows the close of its connection.
+  await waitUntil(() => harness.entry.countInFlight() === 0);
+  const added = harness.outcomes.records.slice(recordsBefore);
+  expect(added.length).toBeLessThanOrEqual(1);
+  expect(added.filter(({ outcome }) => outcome === 'failed')).toEqual([]);
+});
+
+// Guards against a body after the head of an answer that has none, which breaks the connection's framing.
+test('HEAD gets the status and no body', async () => {
+  const text = await sendRaw(harness.entry.port, [buildHead('HEAD', '/v1/none')]);
+  expect(text).toMatch(/^HTTP\/1.1 404 /);
+  expect(text.endsWith('\r\n\r\n')).toBe(true);
+});
+
+// Guards against a caller that is invited to send a body that is then refused.
+test.each([
+  { name: 'wanted', authorization: AUTH, status: 200, invited: true },
+  { name: 'not wanted', authorization: '', status: 401, invited: false },
+])('Expect: 100-continue with a body that is $name', async ({ authorization, status, invited }) => {
+  const head = `POST /v1/chat/completions HTTP/1.1\r\n${HOST}${authorization}Expect: 100-continue\r\n`;
+  const text = await sendRaw(harness.entry.port, [
+    `${head}Content-Length: ${whole.length}\r\n\r\n`,
+    ...(invited ? [whole] : []),
+  ]);
+  expect(text.startsWith('HTTP/1.1 100 Continue')).toBe(invited);
+  expect(parseAnswer(text).status).toBe(status);
+});
+
+// Guards against an error answer written into the answer of an earlier request on the connection (G3, G4).
+test.each([true, false])(
+  'garbage after a request cuts the connection (streamed: %s)',
+  async (stream) => {
+    engine.behaviour = { words: Array<string>(20).fill('w'), gapMs: 10 };
+    const id = `garbage-${String(stream)}`;
+    const body = JSON.stringify({ ...chatBody, stream });
+    const sent = buildChat(body, `X-Request-Id: ${id}\r\n`);
+    const text = await sendRaw(harness.entry.port, [sent, '\x00\x01 garbage\r\n\r\n']);
+    engine.behaviour = {};
+    expect(text).not.toContain('bad_request');
+    const listRecords = () => harness.outcomes.records.filter(({ requestId }) => requestId === id);
+    await waitUntil(() => listRecords().length > 0);
+    expect(listRecords().map(({ outcome }) => outcome)).toEqual(['cancelled']);
+  },
+);
+
+// Guards against callers that hold connections without sending a request.
+test('an idle caller is answered 408 and cut off', async () => {
+  const limits = { ...settings, callerIdleTimeoutMs: 300 };
+  await using idle = await createHarness([], { settings: limits });
+  const answer = parseAnswer(await sendRaw(idle.entry.port, ['GET /v1/models HT'], 5_000));
+  expect(answer.status).toBe(408);
+  expect(JSON.parse(answer.body)).toMatchObject({ error: { code: 'bad_request', not_run: true } });
+});
+
+// Guards against connections without bound, and against a limit that stays reached.
+test('connections over the limit are closed until others end', async () => {
+  await using small = await createHarness([], { settings: { ...settings, maxConnections: 2 } });
+  const { port } = small.entry;
+  const held = [connect(port, '127.0.0.1'), connect(port, '127.0.0.1')];
+  await Promise.all(
+    held.map((socket) => new Promise((resolve) => socket.once('connect', resolve))),
+  );
+  expect(await sendRaw(port, [buildHead('GET', '/livez')])).toBe('');
+  for (const socket of held) socket.destroy();
+  await expect
+    .poll(async () => await sendRaw(port, [buildHead('GET', '/livez')]))
+    .toContain('200 OK');
+});
--- /dev/null
+++ b/packages/router/test/entry/raw-caller.ts
@@ -0,0 +1,43 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+
+/** One parsed answer from a raw connection. */
+export interface RawAnswer {
+  status: number;
+  head: string;
+  body: string;
+}
+
+/** Writes text to a new connection and returns all that arrives until it is quiet or closed. */
+export async function sendRaw(
+  port: number,
+  parts: readonly string[],
+  quietMs = 150,
+): Promise<string> {
+  return await new Promise<string>((resolve) => {
+    let received = '';
+    const socket: Socket = connect(port, '127.0.0.1', () => {
+      for (const part of parts) socket.write(part, 'latin1');
+    });
+    const timer = setTimeout(() => {
+      socket.destroy();
+    }, quietMs);
+    socket.on('data', (part) => {
+      timer.refresh();
+      received += part.toString();
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      clearTimeout(timer);
+      resolve(received);
+    });
+  });
+}
+
+/** Parses the first answer with a content length. */
+export function parseAnswer(text: string): RawAnswer {
+  const [head = '', ...rest] = text.replace(/^HTTP\/1.1 100 [^]*?\r\n\r\n/, '').split('\r\n\r\n');
+  const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+  const body = rest.join('\r\n\r\n').slice(0, length);
+  return { status: Number(head.split(' ')[1]), head, body };
+}
