--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,8 +2,9 @@
 import { runLoad } from './load/load';
 import type { LoadPacing } from './load/options';
 import { runPolicyCommand } from './policy/command';
+import { runSmokeCommand } from './smoke/command';
 
-const COMMAND_NAMES = ['load', 'policy'] as const;
+const COMMAND_NAMES = ['load', 'policy', 'smoke'] as const;
 type CommandName = (typeof COMMAND_NAMES)[number];
 
 /** Runs a command with the arguments after its name; resolves with the exit code. */
@@ -16,7 +17,11 @@
   override readonly name = 'UsageError';
 }
 
-const COMMANDS: Record<CommandName, Command> = { load: runLoadCommand, policy: runPolicyCommand };
+const COMMANDS: Record<CommandName, Command> = {
+  load: runLoadCommand,
+  policy: runPolicyCommand,
+  smoke: runSmokeCommand,
+};
 
 const LOAD_OPTIONS = {
   url: { type: 'string' },
