--- a/packages/stand-ins/src/demo.ts
+++ b/packages/stand-ins/src/demo.ts
@@ -193,6 +193,8 @@
     `  ${curl} -H 'X-Service-Class: order' ${url}/services/orders/stock/oats`,
     '',
     'Operator commands:',
+    `  node dist/pollendrum.cjs status ${flags}`,
+    `  node dist/pollendrum.cjs bundle status --settings ${files.settingsFile}`,
     `  node dist/pollendrum.cjs explain demo-chat ${flags}`,
     `  node dist/pollendrum.cjs report ${flags}`,
     '',
