Run the operator pages' commands in the transcript test

Cause: the pages on rollout and on an outage of the platform had commands that nothing ran. Ruled out: a fresh set of processes for each page; the pages continue in the README's shell.

--- a/packages/cli/test/transcript.test.ts
+++ b/packages/cli/test/transcript.test.ts
@@ -11,6 +11,7 @@
 import { afterEach, beforeEach, describe, expect, test } from 'vitest';
 
 const SCRIPT_TIMEOUT_MS = 60_000;
+const OPERATOR_PAGES = ['rollout-and-rollback.md', 'platform-outage.md'];
 const root = resolve('.');
 
 let folder: string;
@@ -21,11 +22,22 @@
   await rm(folder, { recursive: true, force: true });
 });
 
-/** The blocks of a page with the info string `sh run`, as one script. */
-async function readScript(page: string): Promise<string> {
+/** The blocks of a page with the info string `sh run`. */
+async function readBlocks(page: string): Promise<string[]> {
   const text = await readFile(page, 'utf8');
-  const blocks = [...text.matchAll(/^```sh run\n([\s\S]*?)^```$/gm)].map((match) => match[1] ?? '');
-  return ['set -euo pipefail', ...blocks].join('\n');
+  return [...text.matchAll(/^```sh run\n([\s\S]*?)^```$/gm)].map((match) => match[1] ?? '');
+}
+
+/** One script of the README's blocks; those of the operator pages run before its last one, which stops all. */
+async function readScript(): Promise<string> {
+  const blocks = await readBlocks('README.md');
+  const lastBlock = blocks.pop() ?? '';
+  for (const page of OPERATOR_PAGES) {
+    const pageBlocks = await readBlocks(`docs/operations/${page}`);
+    expect(pageBlocks, page).not.toHaveLength(0);
+    blocks.push(...pageBlocks);
+  }
+  return ['set -euo pipefail', ...blocks, lastBlock].join('\n');
 }
 
 async function findPort(): Promise<number> {
@@ -81,8 +93,8 @@
 }
 
 // Guards against pages whose commands no longer work as written.
-test('the marked commands of the README run, from keys to an explained request', async () => {
-  const { code, output } = await runScript(await readScript('README.md'));
+test('the marked commands of the README and operator pages run, from keys to an explained request', async () => {
+  const { code, output } = await runScript(await readScript());
   for (const expected of [
     'instance.json: no findings',
     'bundle-1.json: bundle 1, no findings',
@@ -92,6 +104,10 @@
     '"idempotencyKey":"order-1"',
     'request first-order: answered on time with status 201',
     'class  tier  requests',
+    '~ /teams/sample/weight 1 -> 2',
+    'bundle 2 is accepted',
+    'bundle 3 is accepted',
+    'platform: does not answer',
   ]) {
     expect(output).toContain(expected);
   }
