--- a/packages/router/src/instance/start-instance.ts
+++ b/packages/router/src/instance/start-instance.ts
@@ -106,6 +106,9 @@
     // Links and membership share one port number, TCP and UDP.
     port: membership.port,
     getMember: (id) => membership.getView().members.find((member) => member.instanceId === id),
+    reportUnreachable: (id, evidence) => {
+      membership.reportUnreachable(id, evidence);
+    },
     tls: keys && toLinkTls(keys.keys),
     traffic: traffic.links,
   });
