--- a/packages/bench/src/matrix/checker.ts
+++ b/packages/bench/src/matrix/checker.ts
@@ -53,7 +53,9 @@
   return context.traffic.observations.flatMap((shed) => {
     if (shed.kind !== 'chat' || shed.result.kind !== 'error') return [];
     if (!CAPACITY_CAUSES.has(shed.result.cause)) return [];
-    const fromMs = shed.sentAtMs + GRANT_TRAVEL_MS;
+    // A request that waits in the socket of a frozen entry is in no queue yet.
+    const frozenToMs = context.fleet.getMember(shed.instanceId).frozen?.toMs ?? 0;
+    const fromMs = Math.max(shed.sentAtMs, frozenToMs) + GRANT_TRAVEL_MS;
     const during = starts.filter(({ atMs }) => atMs > fromMs && atMs <= shed.endedAtMs);
     return CLASSES.flatMap(({ name, tier, floorPercent }) => {
       if (tier <= findTier(shed.className)) return [];
@@ -125,20 +127,35 @@
 }
 
 function checkNotRun(context: CellContext): string[] {
-  const startedPrompts = new Set(
-    listAttempts(context)
-      .filter(({ startedAtMs }) => startedAtMs !== undefined)
-      .map(({ promptTokens }) => promptTokens),
-  );
+  const attempts = listAttempts(context);
   const runIds = new Set([...context.observer.orders.values()].flat().map((run) => run.requestId));
   return context.traffic.observations
-    .filter(({ result, kind, promptTokens, requestId }) => {
+    .filter((observation) => {
+      const { result, kind, requestId } = observation;
       if (result.kind !== 'error' || result.notRun !== true) return false;
-      return kind === 'chat' ? startedPrompts.has(promptTokens) : runIds.has(requestId);
+      return kind === 'chat' ? hasStarted(context, observation, attempts) : runIds.has(requestId);
     })
     .map((observation) => `ran: ${describeObservation(observation)}`);
 }
 
+/** Whether an engine ran this sending of a chat; a text that was sent again is told apart by time. */
+function hasStarted(
+  { traffic }: CellContext,
+  { promptTokens, sentAtMs }: Observation,
+  attempts: readonly AttemptLogEntry[],
+): boolean {
+  const nextSentAtMs = traffic.observations
+    .filter((other) => other.promptTokens === promptTokens && other.sentAtMs > sentAtMs)
+    .reduce((earliest, other) => Math.min(earliest, other.sentAtMs), Infinity);
+  return attempts.some(
+    (attempt) =>
+      attempt.promptTokens === promptTokens &&
+      attempt.startedAtMs !== undefined &&
+      attempt.arrivedAtMs >= sentAtMs &&
+      attempt.arrivedAtMs < nextSentAtMs,
+  );
+}
+
 function checkAtMostOnce(context: CellContext): string[] {
   const runs = new Map<string, string[]>();
   for (const [id, orders] of context.observer.orders) {
--- a/packages/bench/src/matrix/command.ts
+++ b/packages/bench/src/matrix/command.ts
@@ -36,6 +36,9 @@
     },
   });
   const seed = Number(values.seed);
+  // A signal alone would end this process without ending the fleets.
+  process.once('SIGTERM', endNow);
+  process.once('SIGINT', endNow);
   const cells = listCells(values.rows, values.steps, values.quick);
   const results = await runCells(cells, seed);
   process.stdout.write(
@@ -44,6 +47,10 @@
   return results.some((result) => result.result === 'failed' && !isKnownRed(result)) ? 1 : 0;
 }
 
+function endNow(): never {
+  process.exit(1);
+}
+
 function listCells(rows: string | undefined, steps: string | undefined, isQuick: boolean): Cell[] {
   const faults = selectNamed(FAULTS, rows);
   const columns = selectNamed(STEPS, steps);
--- a/packages/bench/src/matrix/observer.ts
+++ b/packages/bench/src/matrix/observer.ts
@@ -98,6 +98,8 @@
 
   private async readInstance(member: FleetMember): Promise<void> {
     const isReady = await isInstanceReady(member);
+    // Killed while it was asked; the balancer has taken it out for good.
+    if (member.endedAtMs !== undefined) return;
     if (isReady) this.traffic.unready.delete(member.id);
     else this.traffic.unready.add(member.id);
     const headers = { authorization: `Bearer ${this.fleet.operators.teamKey}` };
