--- a/packages/bench/src/matrix/fleet.ts
+++ b/packages/bench/src/matrix/fleet.ts
@@ -29,6 +29,7 @@
 /** Cells end their processes at once; a graceful stop is a step of its own. */
 const STOP_TIMEOUT_MS = 100;
 const CLUSTER_KEY_BYTES = 32;
+const START_ATTEMPTS = 3;
 
 export type MemberRole = 'platform' | 'instance' | 'engine' | 'service';
 
@@ -150,7 +151,19 @@
     await this.announceState(member, 'live');
   }
 
+  /** A port that was free may be taken before the instance binds it, so the start is repeated. */
   private async startInstance(id: string): Promise<void> {
+    for (let attempt = 1; ; attempt += 1) {
+      try {
+        await this.startInstanceOnce(id);
+        return;
+      } catch (error) {
+        if (attempt === START_ATTEMPTS || !String(error).includes('EADDRINUSE')) throw error;
+      }
+    }
+  }
+
+  private async startInstanceOnce(id: string): Promise<void> {
     const [httpPort, peerPort] = [await findFreePort(), await findFreePort()];
     const file = join(this.directory, `${id}.json`);
     const settings = this.buildSettings(id, httpPort, peerPort);
