Count only new tokens in max_tokens of a continuation

Cause: after an engine was killed mid-stream the continued answer was too short: the router lowers max_tokens by the delivered tokens, as the chat-completions format asks, but the engine stand-in counted the whole answer. Ruled out: the router's count of delivered tokens; the text up to the seam was right. Change: the stand-in adds the whole tokens of the partial text to max_tokens. Routing hashes each server once a view: at 7,500 servers a view took 2.9 s.

--- a/packages/router/src/routing/routing-view.ts
+++ b/packages/router/src/routing/routing-view.ts
@@ -69,9 +69,14 @@
   policy: RoutingPolicy,
 ): ShardRoute[] {
   const shardCount = policy.resolveShardCount(servers.length);
-  return Array.from({ length: shardCount }, (_, shardIndex) => ({
+  // Each server is hashed once: at 7,500 servers, hashing all of them for each shard took seconds.
+  const serversByShard = Array.from({ length: shardCount }, (): ListedInstance[] => []);
+  for (const server of servers) {
+    serversByShard[policy.computeShardIndex(server.id, shardCount)]?.push(server);
+  }
+  return serversByShard.map((shardServers, shardIndex) => ({
     ...{ poolId, shardIndex, shardCount },
     ownerInstanceId: policy.chooseOwner(`${poolId}/${shardIndex}`, ownerIds),
-    servers: servers.filter(({ id }) => policy.computeShardIndex(id, shardCount) === shardIndex),
+    servers: shardServers,
   }));
 }
--- a/packages/stand-ins/src/engine/answers.ts
+++ b/packages/stand-ins/src/engine/answers.ts
@@ -75,3 +75,17 @@
   }
   return rest;
 }
+
+/** Whole tokens of the answer that `partial` contains. */
+export function countPartialTokens(messages: readonly ChatMessage[], partial: string): number {
+  // The order of the tokens does not depend on the limit, and this limit gives at least one token a character.
+  const limit = Math.ceil(((partial.length + 1) * 100) / MIN_LENGTH_PERCENT);
+  let end = 0;
+  let count = 0;
+  for (const token of generateAnswerTokens(messages, limit)) {
+    end += token.length;
+    if (end > partial.length) break;
+    count += 1;
+  }
+  return count;
+}
--- a/packages/stand-ins/src/engine/chat-request.ts
+++ b/packages/stand-ins/src/engine/chat-request.ts
@@ -1,5 +1,5 @@
 import { HttpError } from '../http/host';
-import { generateAnswerTokens, generateContinuation } from './answers';
+import { countPartialTokens, generateAnswerTokens, generateContinuation } from './answers';
 import type { ChatMessage } from './answers';
 import type { AttemptInput } from './attempt';
 
@@ -14,16 +14,19 @@
 }
 
 /**
- * Parses the body of a chat-completions request. `max_tokens` counts the whole answer, the partial
- * text of a continuation included. Throws `HttpError` 400.
+ * Parses the body of a chat-completions request. `max_tokens` counts the tokens still to generate, so
+ * the partial text of a continuation is not included. Throws `HttpError` 400.
  */
 export function parseChatRequest(body: Record<string, unknown>, attemptId: string): ChatRequest {
   const messages = parseMessages(body.messages);
-  const maxTokens = parseMaxTokens(body.max_tokens ?? body.max_completion_tokens);
+  const partial = body.continue_final_message === true ? getPartialText(messages) : undefined;
+  const maxTokens = parseMaxTokens(body.max_tokens ?? body.max_completion_tokens, () =>
+    partial === undefined ? 0 : countPartialTokens(messages, partial),
+  );
   const priority = body.priority ?? 0;
   if (!Number.isInteger(priority)) throw createBadRequest('priority is not an integer');
   const answer = generateAnswerTokens(messages, maxTokens);
-  const tokens = body.continue_final_message === true ? resumeAnswer(answer, messages) : answer;
+  const tokens = partial === undefined ? answer : generateContinuation(answer, partial);
   return {
     isStreamed: body.stream === true,
     input: {
@@ -37,12 +40,12 @@
   };
 }
 
-function resumeAnswer(answer: readonly string[], messages: readonly ChatMessage[]): string[] {
+function getPartialText(messages: readonly ChatMessage[]): string {
   const last = messages.at(-1);
   if (last?.role !== 'assistant') {
     throw createBadRequest('continue_final_message needs a final assistant message');
   }
-  return generateContinuation(answer, last.content);
+  return last.content;
 }
 
 function parseMessages(value: unknown): ChatMessage[] {
@@ -56,12 +59,13 @@
   });
 }
 
-function parseMaxTokens(value: unknown): number {
+/** Limit of the whole answer: the stated limit plus the tokens that the caller already has. */
+function parseMaxTokens(value: unknown, countGiven: () => number): number {
   if (value === undefined) return DEFAULT_MAX_TOKENS;
   if (!Number.isInteger(value) || Number(value) < 1 || Number(value) > MAX_MAX_TOKENS) {
     throw createBadRequest('max_tokens is out of range');
   }
-  return Number(value);
+  return Number(value) + countGiven();
 }
 
 function createBadRequest(message: string): HttpError {
