Record requests that one instance held alone when it dies

Cause: when entry and dispatcher of a request are the same instance and it dies, nobody else knew of the request, so explain had no cause for it. Ruled out: telling another instance of every request, which at the design size costs more than the control budget. Change: a dispatcher tells one other instance of the requests of its own entry (watch-request, unwatch-request); that instance records them as entry-lost when membership removes the dispatcher. Two tests for the new messages.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export { findFreePort, findFreePorts } from './free-ports';
--- a/packages/bench/src/matrix/fleet.ts
+++ b/packages/bench/src/matrix/fleet.ts
@@ -1,13 +1,10 @@
 import { randomBytes } from 'node:crypto';
-import { createSocket } from 'node:dgram';
-import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { ListedInstance, Settings } from '@pollendrum/protocol';
+import { findFreePort } from '../free-ports';
 import { ProcessGroup } from '../processes';
 import type { ManagedProcess } from '../processes';
 import { CHAT_POOL, Operators, REQUIRED_SIGNATURES, SERVICE_POOL } from './operators';
@@ -223,31 +220,3 @@
   const root = here.endsWith('.cjs') ? join(here, '../..') : join(here, '../../../../..');
   return join(root, 'dist', name);
 }
-
-const PORT_ATTEMPTS = 20;
-
-/** A port that is free for TCP and UDP. */
-async function findFreePort(): Promise<number> {
-  for (let attempt = 0; attempt < PORT_ATTEMPTS; attempt += 1) {
-    const server = createServer().listen(0, ADDRESS);
-    await once(server, 'listening');
-    const { port } = server.address() as AddressInfo;
-    const isFree = await probeUdpPort(port);
-    await new Promise((resolve) => server.close(resolve));
-    if (isFree) return port;
-  }
-  throw new Error('no port is free for TCP and UDP');
-}
-
-async function probeUdpPort(port: number): Promise<boolean> {
-  const socket = createSocket('udp4');
-  try {
-    socket.bind(port, ADDRESS);
-    await once(socket, 'listening');
-    return true;
-  } catch {
-    return false;
-  } finally {
-    socket.close();
-  }
-}
--- a/packages/bench/src/timings/fleet.ts
+++ b/packages/bench/src/timings/fleet.ts
@@ -1,8 +1,5 @@
 import { createHash, generateKeyPairSync, randomUUID } from 'node:crypto';
-import { once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -15,6 +12,7 @@
 import type { ListedInstance } from '@pollendrum/protocol';
 import { computeOperatorToken } from '@pollendrum/router';
 import { request } from 'undici';
+import { findFreePort } from '../free-ports';
 import { ProcessGroup } from '../processes';
 import type { ManagedProcess } from '../processes';
 import { Forwarder } from './forwarder';
@@ -184,7 +182,7 @@
   async #startInstance(index: number): Promise<void> {
     const id = `instance-${index.toString()}`;
     const platform = await this.#startForwarder(Number(new URL(this.#platformUrl).port));
-    const peerPort = await takeFreePort();
+    const peerPort = await findFreePort();
     const settings = {
       ...{ instanceId: id, address: '127.0.0.1', httpPort: 0, peerPort },
       ...{ failureDomain: `domain-${(index % 3).toString()}`, region: 'region-1' },
@@ -251,12 +249,3 @@
   const place = { address: '127.0.0.1', port, failureDomain: 'domain-0', region: 'region-1' };
   return { id, role, ...place, state: 'live', ...extra };
 }
-
-async function takeFreePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
--- a/packages/cli/test/transcript.test.ts
+++ b/packages/cli/test/transcript.test.ts
@@ -2,10 +2,9 @@
 import { createHash, generateKeyPairSync } from 'node:crypto';
 import { once } from 'node:events';
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
+import { findFreePort } from '@pollendrum/bench';
 import { createStarterBundle } from '@pollendrum/platform';
 import { createPlatform } from '@pollendrum/stand-ins';
 import { afterEach, beforeEach, describe, expect, test } from 'vitest';
@@ -40,19 +39,10 @@
   return ['set -euo pipefail', ...blocks, lastBlock].join('\n');
 }
 
-async function findPort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
 async function createEnvironment(): Promise<Record<string, string>> {
   const names = ['PLATFORM_PORT', 'HTTP_PORT', 'PEER_PORT', 'ENGINE_PORT', 'SERVICE_PORT'];
   const entries: [string, string][] = [];
-  for (const name of names) entries.push([name, String(await findPort())]);
+  for (const name of names) entries.push([name, String(await findFreePort())]);
   return { ...Object.fromEntries(entries), ROOT: root };
 }
 
--- a/packages/router/src/dispatcher/attempt-table.ts
+++ b/packages/router/src/dispatcher/attempt-table.ts
@@ -37,6 +37,8 @@
   readonly #byEntry = new Map<string, Set<Attempt>>();
   readonly #ended = new LRUCache<string, EndedAttempt>({ max: MAX_ENDED, ttl: ENDED_RETENTION_MS });
 
+  constructor(private readonly handleRemoved: (attemptId: string) => void = () => undefined) {}
+
   add(attempt: Attempt): void {
     this.#attempts.set(attempt.attemptId, attempt);
     const ofEntry = this.#byEntry.get(attempt.entryInstanceId) ?? new Set();
@@ -70,6 +72,7 @@
     const ofEntry = this.#byEntry.get(attempt.entryInstanceId);
     ofEntry?.delete(attempt);
     if (ofEntry?.size === 0) this.#byEntry.delete(attempt.entryInstanceId);
+    this.handleRemoved(attempt.attemptId);
   }
 
   /** Remembers the end for a while, so that a late message does not start the attempt again. */
--- a/packages/router/src/dispatcher/dispatcher-task.ts
+++ b/packages/router/src/dispatcher/dispatcher-task.ts
@@ -8,10 +8,12 @@
   type DispatcherTaskOptions,
 } from './dispatcher-options';
 import { EntryLinks } from './entry-links';
+import { LocalRequestMirror } from './local-request-mirror';
 import { LoadPoller } from './load-poller';
 import { buildGrant, buildLostRecord, buildReject, toQueuedRequest } from './messages';
 import type { OwnedShard } from './owned-shard';
 import { ShardSet } from './shard-set';
+import { WatchedRequests } from './watched-requests';
 
 /** Decides the shards that the routing view assigns to this instance. */
 export function createDispatcherTask(options: DispatcherTaskOptions): DispatcherTask {
@@ -21,7 +23,9 @@
 class PeerDispatcherTask implements DispatcherTask {
   readonly #options: DispatcherTaskOptions;
   readonly #shards: ShardSet;
-  readonly #attempts = new AttemptTable();
+  readonly #attempts: AttemptTable;
+  readonly #mirror: LocalRequestMirror;
+  readonly #watched: WatchedRequests;
   readonly #links: EntryLinks;
   readonly #poller: LoadPoller;
   readonly #suspectFingerprints = new Set<string>();
@@ -34,6 +38,12 @@
   constructor(options: DispatcherTaskOptions) {
     this.#options = options;
     const { peers, routing, bundles, membership, metrics } = options;
+    const mirror = new LocalRequestMirror(peers, membership);
+    this.#mirror = mirror;
+    this.#watched = new WatchedRequests(options.instanceId);
+    this.#attempts = new AttemptTable((attemptId) => {
+      mirror.removeAttempt(attemptId);
+    });
     this.#links = new EntryLinks(peers, this.#attempts);
     this.#poller = new LoadPoller({
       ...{ metrics, intervalMs: options.loadPollMs },
@@ -105,6 +115,12 @@
       case 'finish':
         this.#handleFinish(from, message);
         break;
+      case 'watch-request':
+        this.#watched.add(from, message);
+        return;
+      case 'unwatch-request':
+        this.#watched.remove(from, message.attemptId);
+        return;
       default:
         // The other kinds are for the entry and for control on the same link.
         return;
@@ -154,6 +170,7 @@
       lostAtMs: undefined,
     };
     this.#attempts.add(attempt);
+    this.#mirror.addAttempt(attempt, this.#getTier(className), this.#getNowMs());
     this.#startWaiting(attempt, message);
   }
 
@@ -279,6 +296,7 @@
     for (const entryInstanceId of this.#attempts.listEntries()) {
       if (!known.has(entryInstanceId)) this.#handleLost(entryInstanceId);
     }
+    for (const record of this.#watched.takeLost(known)) this.#options.recordOutcome(record);
   }
 
   #expireLost(): void {
@@ -290,9 +308,12 @@
   }
 
   #recordLost(attempt: Attempt, nowMs: number): void {
-    const { instanceId, bundles, recordOutcome } = this.#options;
-    const tier = bundles.getActive()?.classesByName.get(attempt.className)?.tier ?? 0;
-    recordOutcome(buildLostRecord(attempt, instanceId, tier, nowMs));
+    const { instanceId, recordOutcome } = this.#options;
+    recordOutcome(buildLostRecord(attempt, instanceId, this.#getTier(attempt.className), nowMs));
+  }
+
+  #getTier(className: string): number {
+    return this.#options.bundles.getActive()?.classesByName.get(className)?.tier ?? 0;
   }
 
   #recordSuspect(report: CrashReport): void {
--- a/packages/router/test/dispatcher/dispatcher-task.test.ts
+++ b/packages/router/test/dispatcher/dispatcher-task.test.ts
@@ -170,6 +170,42 @@
   });
 });
 
+describe('requests that another instance holds as entry and as dispatcher', () => {
+  // Guards against requests without any cause when the instance that held them alone dies.
+  test('are recorded when it dies, and not when they ended before', async () => {
+    await using fixture = new DispatcherFixture([buildServer('s1', 1)]);
+    const common = { className: 'quick', tier: 0, team: 't', target: 'm', bundleNumber: 1 };
+    for (const id of ['a1', 'a2']) {
+      const request = { attemptId: id, requestId: `r-${id}`, arrivedAgoMs: 5 };
+      fixture.send('e1', { kind: 'watch-request', ...common, ...request });
+    }
+    fixture.send('e1', { kind: 'unwatch-request', attemptId: 'a2' });
+    expect(fixture.records).toEqual([]);
+    fixture.setMembers(['d', 'e2']);
+    expect(fixture.records.map(({ requestId, cause }) => [requestId, cause?.kind])).toEqual([
+      ['r-a1', 'entry-lost'],
+    ]);
+  });
+
+  // Guards against an instance that tells nobody about such requests, or never ends the watch.
+  test('are announced to another instance until they end', async () => {
+    await using fixture = new DispatcherFixture([buildServer('s1', 1)]);
+    fixture.setMembers(['d', 'e1']);
+    await wait(300);
+    fixture.send('d', buildEnqueue('own'));
+    fixture.send('e1', buildEnqueue('other'));
+    await wait(50);
+    fixture.send('d', buildFinish('own', 'completed'));
+    const watches = fixture.sent
+      .filter(({ to, message }) => to === 'e1' && message.kind.endsWith('watch-request'))
+      .map(({ message }) => [message.kind, 'attemptId' in message && message.attemptId]);
+    expect(watches).toEqual([
+      ['watch-request', 'own'],
+      ['unwatch-request', 'own'],
+    ]);
+  });
+});
+
 // Guards against a slot that is granted to an entry which may be dead while others wait.
 test('a waiting request of a lost entry is not granted until the entry is back', async () => {
   await using fixture = new DispatcherFixture([buildServer('s1', 1)]);
