Count the time that requests wait while an instance is paused

Cause: requests that arrive while the process is stopped wait in the socket. The entry's clock started when it read them, so it called late answers on time and had no cause for them. In a planned stop, the timers of the steps ended first after the pause, and the listener closed connections with unread requests. Ruled out: the kernel's receive time, which Node does not pass on. Change: a pause detector; a request read right after a pause is judged with the pause added, with cause instance-paused. The stop waits 200 ms for pending reads before it closes the listener. Error bodies use the protocol's sentence for each cause, except for internal errors, so that it stands once. A request that arrives within 250 ms after a pause is judged as if it had waited, which may be too strict.

--- a/packages/protocol/src/causes/describe-cause.ts
+++ b/packages/protocol/src/causes/describe-cause.ts
@@ -36,6 +36,8 @@
       return `instance ${cause.instanceId}, which held the request, was lost ${formatMs(cause.elapsedMs)} after it arrived`;
     case 'instance-draining':
       return `instance ${cause.instanceId} has been shutting down for ${formatMs(cause.sinceMs)}`;
+    case 'instance-paused':
+      return `instance ${cause.instanceId} was paused for ${formatMs(cause.pausedMs)} before it read the request, which may have waited that long`;
     case 'no-bundle':
       return `instance ${cause.instanceId} has no configuration bundle yet`;
     case 'duplicate-key':
--- a/packages/router/src/entry/entry-task.ts
+++ b/packages/router/src/entry/entry-task.ts
@@ -15,6 +15,7 @@
 import { GrantClient } from './grant-client';
 import { createCallerServer, updateServerTls } from './http-server';
 import { serveOperator } from './operator-endpoint';
+import { PauseDetector } from './pause-detector';
 import { ParserErrorReplies } from './parser-errors';
 import { RequestContext, RequestError } from './request-context';
 import { RequestLifecycle } from './request-state';
@@ -59,6 +60,7 @@
   readonly #engine = new EngineClient(this.#pools);
   readonly #services = new ServiceClient(this.#pools);
   readonly #parserErrors = new ParserErrorReplies();
+  readonly #pauses = new PauseDetector();
   #inFlight = 0;
   #stoppingSinceMs: number | undefined;
 
@@ -181,6 +183,7 @@
       instanceId: settings.instanceId,
       bundleNumber: active?.bundle.number ?? 0,
       outcomes,
+      pausedMs: this.#pauses.getPausedMs(),
     });
     const span = telemetry.trace.startRequestSpan('request', request.headers);
     const context = new RequestContext(
@@ -290,6 +293,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.closeListener();
     this.#server.closeAllConnections();
+    this.#pauses[Symbol.dispose]();
     this.#grants[Symbol.dispose]();
     await this.#pools[Symbol.asyncDispose]();
   }
--- a/packages/router/src/entry/error-replies.ts
+++ b/packages/router/src/entry/error-replies.ts
@@ -1,3 +1,4 @@
+import { describeCause } from '@pollendrum/protocol';
 import type { Cause, OutcomeKind } from '@pollendrum/protocol';
 
 /** Body of an error answer. */
@@ -69,6 +70,7 @@
     case 'dispatcher-lost':
     case 'entry-lost':
     case 'instance-draining':
+    case 'instance-paused':
     case 'no-bundle':
       // 503 invites the caller to repeat, which only a request that did not run allows.
       return outcome === 'failed' ? 502 : 503;
@@ -95,7 +97,7 @@
   return {
     error: {
       code: getCode(reply.outcome, reply.cause),
-      message: describeCause(reply.cause),
+      message: describeToCaller(reply.cause),
       request_id: requestId,
       cause: reply.cause,
       not_run: isNotRun(reply),
@@ -110,67 +112,7 @@
   return reply.outcome === 'not-run';
 }
 
-/** Describes a cause in one sentence for callers. */
-export function describeCause(cause: Cause): string {
-  switch (cause.kind) {
-    case 'queue-wait-over-budget':
-      return `estimated wait ${Math.round(cause.estimatedWaitMs)} ms is over the budget of ${cause.budgetMs} ms`;
-    case 'queue-full':
-      return `the queue holds ${cause.queueLength} requests, its limit`;
-    case 'team-limit':
-      return `the team reached its limit of ${cause.limitValue} (${cause.limit})`;
-    case 'queue-timeout':
-      return `no slot became free within ${Math.round(cause.waitedMs)} ms`;
-    case 'no-healthy-server':
-      return 'no healthy backend server';
-    case 'platform-unavailable':
-      return `the platform did not answer (${cause.operation})`;
-    case 'server-crashed':
-      return `backend server ${cause.serverId} crashed`;
-    case 'server-refused':
-      return `backend server ${cause.serverId} refused the request with status ${cause.status}`;
-    case 'server-slow':
-      return `backend server ${cause.serverId} was slow`;
-    case 'server-silent':
-      return `backend server ${cause.serverId} sent nothing for ${Math.round(cause.silentMs)} ms`;
-    case 'poison-request':
-      return `backend servers crashed under this request: ${cause.crashedServerIds.join(', ')}`;
-    case 'retry-budget-exhausted':
-      return `no further attempt within the retry budget; ${describeCause(cause.underlying)}`;
-    case 'dispatcher-moved':
-    case 'dispatcher-lost':
-      return 'the dispatcher of this pool is changing; try again';
-    case 'entry-lost':
-      return 'the instance that held the request was lost';
-    case 'instance-draining':
-      return 'this instance is stopping';
-    case 'no-bundle':
-      return 'this instance has no configuration yet';
-    case 'duplicate-key':
-      return `the idempotency key is in use by request ${cause.firstRequestId} (${cause.state})`;
-    case 'missing-key':
-      return 'a non-idempotent call needs the header Idempotency-Key with 1 to 255 visible ASCII characters';
-    case 'key-expired':
-      return 'the idempotency key is older than the retention of claims';
-    case 'bad-request':
-      return `the request has ${cause.findings.length} problem(s)`;
-    case 'unauthorized':
-      return 'missing or unknown bearer key';
-    case 'forbidden-class':
-      return `the team may not use class ${cause.className}`;
-    case 'unknown-model':
-      return `unknown model ${cause.model}`;
-    case 'unknown-service':
-      return `unknown service or route ${cause.service}`;
-    case 'body-too-large':
-      return `the body is larger than ${cause.limitBytes} bytes`;
-    case 'caller-disconnected':
-      return 'the caller disconnected';
-    case 'caller-slow':
-      return 'the caller did not read or send in time';
-    case 'backend-error':
-      return `backend server ${cause.serverId} answered with status ${cause.status}`;
-    case 'internal':
-      return 'internal error';
-  }
+/** Describes a cause in one sentence for callers; internal errors are not passed on. */
+function describeToCaller(cause: Cause): string {
+  return cause.kind === 'internal' ? 'internal error' : describeCause(cause);
 }
--- a/packages/router/src/entry/request-state.ts
+++ b/packages/router/src/entry/request-state.ts
@@ -58,6 +58,11 @@
   instanceId: string;
   bundleNumber: number;
   outcomes: Pick<OutcomePort, 'recordOutcome'>;
+  /**
+   * Longest time that the request may have waited unread while the process was paused, in milliseconds.
+   * @default 0
+   */
+  pausedMs?: number;
 }
 
 /** Follows one request from arrival to exactly one outcome and one record. */
@@ -120,9 +125,17 @@
 
   #buildRecord(end: RequestEnd): OutcomeRecord {
     const totalMs = performance.now() - this.startedAtMs;
-    const onTime = end.outcome === 'answered' && this.#isOnTime(totalMs);
+    const { pausedMs = 0 } = this.options;
+    const isServedOnTime = end.outcome === 'answered' && this.#isOnTime(totalMs, 0);
+    const onTime = isServedOnTime && this.#isOnTime(totalMs, pausedMs);
     const isLate = end.outcome === 'answered' && !onTime && this.#route !== undefined;
-    const cause = end.cause ?? (isLate ? this.#computeLateCause(totalMs) : undefined);
+    const pause: Cause = {
+      kind: 'instance-paused',
+      instanceId: this.options.instanceId,
+      pausedMs,
+    };
+    const lateCause = isServedOnTime ? pause : this.#computeLateCause(totalMs);
+    const cause = end.cause ?? (isLate ? lateCause : undefined);
     const { meter } = this;
     const meanGapMs = meter.getMeanGapMs();
     return {
@@ -149,10 +162,11 @@
     };
   }
 
-  #isOnTime(totalMs: number): boolean {
+  #isOnTime(servedMs: number, pausedMs: number): boolean {
     if (this.#route === undefined) return false;
     const { serviceClass, isModel } = this.#route;
-    const firstMs = isModel ? (this.meter.firstTokenMs ?? totalMs) : totalMs;
+    const totalMs = servedMs + pausedMs;
+    const firstMs = isModel ? (this.meter.firstTokenMs ?? servedMs) + pausedMs : totalMs;
     if (firstMs > serviceClass.targetFirstByteMs || totalMs > serviceClass.maxTotalMs) return false;
     const targetGapMs = serviceClass.targetTokenGapMs;
     return targetGapMs === undefined || (this.meter.getMeanGapMs() ?? 0) <= targetGapMs;
--- a/packages/router/src/instance/instance.ts
+++ b/packages/router/src/instance/instance.ts
@@ -60,6 +60,11 @@
 const DEFAULT_DRAIN_LIMIT_MS = 900_000;
 const SHORT_STEP_LIMIT_MS = 2_000;
 const FLUSH_LIMIT_MS = 5_000;
+/**
+ * Time for requests that wait unread in their connections. A process that was paused during the steps before
+ * sees its timers end first; closing at once would cut those requests off.
+ */
+const PENDING_READ_MS = 200;
 
 /** Starts the entry on the given tasks. Rejects when its port cannot be bound. */
 export async function createInstance(
@@ -135,6 +140,7 @@
       name: 'finish-requests',
       limitMs: drainLimitMs + SHORT_STEP_LIMIT_MS,
       run: async () => {
+        await new Promise((resolve) => setTimeout(resolve, PENDING_READ_MS));
         entry.closeListener();
         const isIdle = await entry.waitIdle(drainLimitMs);
         if (!isIdle) throw new Error(`${entry.countInFlight()} requests were still in flight`);
