Derive the operator token in one place

Cause: the command line had its own copy of the derivation that the operator endpoint checks; a change of one would have locked operators out. Change: the command line calls computeOperatorToken of the router. Behaviour is unchanged.

--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -1,5 +1,5 @@
-import { createHmac } from 'node:crypto';
 import type { OutcomeRecord } from '@pollendrum/protocol';
+import { computeOperatorToken } from '@pollendrum/router';
 import { request } from 'undici';
 import { loadSettings, readTextFile } from './settings-file';
 
@@ -41,11 +41,6 @@
   };
 }
 
-/** Derives the operators' bearer token from the cluster key. */
-export function createOperatorToken(clusterKey: string): string {
-  return createHmac('sha256', clusterKey).update('operator').digest('hex');
-}
-
 /** Asks one instance's operator endpoint. */
 export class OperatorClient {
   readonly #headers: Record<string, string>;
@@ -54,7 +49,7 @@
     readonly instanceUrl: string,
     readonly clusterKey: string,
   ) {
-    this.#headers = { authorization: `Bearer ${createOperatorToken(clusterKey)}` };
+    this.#headers = { authorization: `Bearer ${computeOperatorToken(clusterKey)}` };
   }
 
   /**
