Take an answer without a length that is reset as broken

Ruled out: a server that closes normally inside such an answer; that cannot be told from its end. Change: the connector notes a reset before undici sees it, and the attempt counts as broken.

--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -74,7 +74,8 @@
         if (!isEnded && !events.onData(chunk)) controller?.pause();
       },
       onResponseEnd() {
-        end({ kind: 'complete' });
+        if (connection.wasReset()) end({ kind: 'broken', reason: 'reset inside the answer' });
+        else end({ kind: 'complete' });
       },
       onResponseError(_, error) {
         end({ kind: isSent ? 'broken' : 'not-sent', reason: describeError(error) });
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -13,14 +13,25 @@
 /** An idle connection older than this is not used for a request that must not be repeated, in milliseconds. */
 const SAFE_IDLE_MS = 2_000;
 
-interface IdleConnection {
+/** What the connector saw of a client's socket. */
+interface SocketState {
+  wasReset: boolean;
+}
+
+interface OpenConnection {
   client: Client;
+  state: SocketState;
+}
+
+interface IdleConnection extends OpenConnection {
   idleSinceMs: number;
 }
 
 /** A connection in use by one request. */
 export interface HeldConnection {
   client: Client;
+  /** Whether the server reset the connection. undici ends an answer without a length as if it were complete then. */
+  wasReset(): boolean;
   /** Returns the connection for reuse; a closed one is dropped. */
   release(isReusable: boolean): void;
 }
@@ -44,16 +55,17 @@
   acquire(limit: number, mayRepeat: boolean): HeldConnection | undefined {
     if (this.inUse >= limit) return undefined;
     this.inUse += 1;
-    const client = this.#takeIdle(mayRepeat) ?? this.#createClient();
+    const { client, state } = this.#takeIdle(mayRepeat) ?? this.#createClient();
     let isReleased = false;
     return {
       client,
+      wasReset: () => state.wasReset,
       release: (isReusable) => {
         if (isReleased) return;
         isReleased = true;
         this.inUse -= 1;
         if (isReusable && !client.destroyed && !this.isClosed) {
-          this.idle.push({ client, idleSinceMs: this.clock() });
+          this.idle.push({ client, state, idleSinceMs: this.clock() });
         } else {
           discardClient(client);
         }
@@ -72,7 +84,7 @@
     await Promise.resolve();
   }
 
-  #takeIdle(mayRepeat: boolean): Client | undefined {
+  #takeIdle(mayRepeat: boolean): OpenConnection | undefined {
     for (let index = this.idle.length - 1; index >= 0; index -= 1) {
       const candidate = this.idle[index];
       if (candidate === undefined) continue;
@@ -82,15 +94,16 @@
       }
       if (!mayRepeat && this.clock() - candidate.idleSinceMs > SAFE_IDLE_MS) continue;
       this.idle.splice(index, 1);
-      return candidate.client;
+      return candidate;
     }
     return undefined;
   }
 
-  #createClient(): Client {
+  #createClient(): OpenConnection {
+    const state: SocketState = { wasReset: false };
     const client = new Client(this.origin, {
       pipelining: 1,
-      connect: connectWithTimeout,
+      connect: createConnector(state),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: LONGEST_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -103,7 +116,7 @@
       this.idle.splice(index, 1);
       discardClient(client);
     });
-    return client;
+    return { client, state };
   }
 }
 
@@ -111,30 +124,34 @@
   client.destroy().catch(() => undefined);
 }
 
-/** undici's own connector rounds its timeout to a second; this one is exact. */
-function connectWithTimeout(
-  options: buildConnector.Options,
-  callback: buildConnector.Callback,
-): void {
-  const socket = connect({ host: options.hostname, port: Number(options.port), noDelay: true });
-  socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
-  let isSettled = false;
-  const settle = (error: Error | null) => {
-    if (isSettled) return;
-    isSettled = true;
-    clearTimeout(timer);
-    if (error === null) {
-      callback(null, socket);
-      return;
-    }
-    socket.destroy();
-    callback(error, null);
+/** undici's own connector rounds its timeout to a second; this one is exact and notes a reset. */
+function createConnector(state: SocketState): buildConnector.connector {
+  return (options, callback) => {
+    const socket = connect({ host: options.hostname, port: Number(options.port), noDelay: true });
+    socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+    state.wasReset = false;
+    let isSettled = false;
+    const settle = (error: Error | null) => {
+      if (isSettled) return;
+      isSettled = true;
+      clearTimeout(timer);
+      if (error === null) {
+        callback(null, socket);
+        return;
+      }
+      socket.destroy();
+      callback(error, null);
+    };
+    const timer = setTimeout(() => {
+      settle(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
+    }, CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      settle(null);
+    });
+    // Runs before undici's listener, which takes a reset for the end of an answer without a length.
+    socket.on('error', (error) => {
+      state.wasReset = true;
+      settle(error);
+    });
   };
-  const timer = setTimeout(() => {
-    settle(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
-  }, CONNECT_TIMEOUT_MS);
-  socket.once('connect', () => {
-    settle(null);
-  });
-  socket.once('error', settle);
 }
--- /dev/null
+++ b/packages/gateway/test/raw-backend.ts
@@ -0,0 +1,39 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+
+/** What a raw backend server does with each request; it sees the bytes received on the connection so far. */
+export type RawHandler = (socket: Socket, received: string) => void;
+
+export interface RawBackend extends AsyncDisposable {
+  port: number;
+  countConnections(): number;
+}
+
+/** Starts a server on the loopback interface that writes whatever bytes a test wants. */
+export async function startRawBackend(handler: RawHandler): Promise<RawBackend> {
+  const sockets = new Set<Socket>();
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections += 1;
+    sockets.add(socket);
+    let received = '';
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('data', (chunk) => {
+      received += chunk.toString('latin1');
+      if (!received.includes('\r\n\r\n')) return;
+      const whole = received;
+      received = '';
+      handler(socket, whole);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  return {
+    port: (server.address() as AddressInfo).port,
+    countConnections: () => connections,
+    async [Symbol.asyncDispose]() {
+      for (const socket of sockets) socket.destroy();
+      await new Promise<void>((resolve) => server.close(() => resolve()));
+    },
+  };
+}
