Place streams by predicted completion and rank them by team, then route

Ruled out: priorities among running prefills; tags of higher priority wait as long as the queue before them (first byte 1,078 ms at 1,244 predicted). Change: the border between servers for short and long prompts follows the prefill time of each kind; a placement predicts the end of the answer; the lowest tier is refused when it would be late; rank = team priority, then route.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -126,6 +126,7 @@
     body: body.bytes,
     arrivedAtMs,
     bundleVersion: table.version,
+    rank: table.computeRank(match.route, match.team),
   });
   await runFlow(exchange, response);
 }
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,3 +1,4 @@
+import { admitStream } from '@pollendrum/policy';
 import type { PlacedRequest } from '@pollendrum/policy';
 import type { HeldConnection } from './backend-connections';
 import { startAttempt } from './backend-attempt';
@@ -16,7 +17,7 @@
   /** The shared budget for repeated sends is used up. */
   | { kind: 'no-budget' }
   /** The first byte would come after the caller has given up. */
-  | { kind: 'too-late'; predictedMs: number };
+  | { kind: 'too-late'; predictedMs: number; retryAfterMs: number };
 
 /** A request on its way to a chosen server. */
 export interface Dispatch {
@@ -29,9 +30,6 @@
 export type DispatchResult =
   { kind: 'dispatch'; dispatch: Dispatch } | { kind: 'refused'; refusal: DispatchRefusal };
 
-/** A prediction is taken as too late only beyond this multiple of the caller's patience. */
-const PATIENCE_FACTOR = 0.9;
-
 /** Chooses servers for one request and accounts for what was sent to them. */
 export class RequestDispatcher {
   private readonly triedServerIds = new Set<string>();
@@ -49,7 +47,11 @@
     return this.sends;
   }
 
-  /** Chooses a server and takes a connection to it. */
+  /**
+   * Chooses a server and takes a connection to it.
+   *
+   * @param patienceMs time after which the caller leaves without a first byte, in milliseconds
+   */
   prepare(patienceMs: number): DispatchResult {
     const { context, input } = this.exchange;
     const nowMs = context.clock();
@@ -60,18 +62,14 @@
         serviceName: this.serviceName,
         head: input.head,
         tightestPauseMs: context.getTable()?.getTightestPauseMs(this.serviceName),
-        patienceMs,
+        remainingMs: this.exchange.getRemainingMs(),
         excludedServerIds: this.triedServerIds,
       },
       nowMs,
     );
     if (choice === undefined) return { kind: 'refused', refusal: { kind: 'no-server' } };
-    if (choice.predictedMs > patienceMs * PATIENCE_FACTOR) {
-      return {
-        kind: 'refused',
-        refusal: { kind: 'too-late', predictedMs: choice.predictedMs },
-      };
-    }
+    const refusal = this.#checkAdmission(choice, patienceMs);
+    if (refusal !== undefined) return { kind: 'refused', refusal };
     if (!this.#takeBudget(nowMs)) return { kind: 'refused', refusal: { kind: 'no-budget' } };
     const mayRepeat = input.route.kind !== 'non-idempotent';
     const connection = context.backends.acquire(choice.server, this.service, mayRepeat);
@@ -91,8 +89,7 @@
       serverId: choice.server.serverId,
       teamName: input.team?.name,
       lastEventId,
-      enginePriority:
-        input.route.kind === 'stream' ? (input.team?.priority ?? input.route.priority) : undefined,
+      enginePriority: input.route.kind === 'stream' ? input.rank : undefined,
     });
     const attempt = startAttempt(
       connection,
@@ -135,6 +132,35 @@
     context.metrics.attempts.inc({ service: this.serviceName, result });
   }
 
+  /** A stream that has begun is continued however late; only a first send can be refused. */
+  #checkAdmission(choice: ServerChoice, patienceMs: number): DispatchRefusal | undefined {
+    const { input, context } = this.exchange;
+    if (choice.placement === undefined || this.sends > 0) return undefined;
+    const { priority } = input.route;
+    const lowest = context.getTable()?.getLowestStreamPriority(this.serviceName) ?? priority;
+    const admission = admitStream(
+      {
+        targetMs: input.route.targetLatencyMs,
+        patienceMs,
+        remainingMs: this.exchange.getRemainingMs(),
+        timeoutMs: input.route.timeoutMs,
+        isLowestTier: priority >= lowest,
+      },
+      choice.placement,
+      Math.random(),
+    );
+    switch (admission.kind) {
+      case 'admit':
+        return undefined;
+      case 'refuse':
+        return {
+          kind: 'too-late',
+          predictedMs: admission.predictedMs,
+          retryAfterMs: admission.retryAfterMs,
+        };
+    }
+  }
+
   #takeBudget(nowMs: number): boolean {
     const { retryBudget, settings } = this.exchange.context;
     if (this.sends === 0) {
@@ -152,7 +178,9 @@
     const placed: PlacedRequest = {
       serverId: choice.server.serverId,
       prefillMs: choice.prefillMs,
+      heldTokens: choice.heldTokens,
       isPauseSensitive: choice.isPauseSensitive,
+      isLong: choice.isLong,
       expectedFirstByteAtMs: nowMs + choice.predictedMs,
       isStreaming: false,
     };
@@ -163,7 +191,7 @@
       result: 'complete',
       elapsedMs: 0,
     };
-    context.loads.add(placed);
+    context.loads.add(placed, nowMs);
     this.exchange.attempts.push(record);
     const engine = this.service?.engine;
     if (engine !== undefined) {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -19,6 +19,8 @@
   body: Buffer | undefined;
   arrivedAtMs: number;
   bundleVersion: number;
+  /** Rank among the requests that share its servers, 0 first. */
+  rank: number;
 }
 
 /** One request of a caller, its limits and the record of what was done for it. */
--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -15,6 +15,8 @@
   notRun: string;
   /** `input,output` in tokens. */
   tokenUsage: string;
+  /** Caller's estimate of the length of the answer, in tokens. */
+  lengthHint: string;
   /** `id:tokens` for each part of the prompt, separated by commas. */
   promptParts: string;
   enginePriority: string;
@@ -29,6 +31,8 @@
   lastEventId: string | undefined;
   teamKey: string | undefined;
   promptTokens: number;
+  /** Expected length of the answer in tokens; 0 when nothing is known. */
+  outputTokens: number;
   parts: readonly PromptPart[];
 }
 
@@ -91,7 +95,8 @@
       return Array.isArray(value) ? value[0] : value;
     };
     const parts = parseParts(read(this.names.promptParts));
-    const [inputTokens] = (read(this.names.tokenUsage) ?? '').split(',').map(Number);
+    const usage = (read(this.names.tokenUsage) ?? '').split(',').map(Number);
+    const [inputTokens, maxOutputTokens] = usage;
     const partTokens = parts.reduce((sum, part) => sum + part.tokens, 0);
     return {
       attemptId: read(this.names.attemptId),
@@ -99,6 +104,7 @@
       lastEventId: read(this.names.lastEventId),
       teamKey: parseBearer(read('authorization')),
       promptTokens: Number.isFinite(inputTokens) && inputTokens ? inputTokens : partTokens,
+      outputTokens: toPositive(read(this.names.lengthHint)) ?? (maxOutputTokens || 0),
       parts,
     };
   }
--- a/packages/gateway/src/load-exchange.ts
+++ b/packages/gateway/src/load-exchange.ts
@@ -128,6 +128,14 @@
     waiting: load.waiting,
     streaming: load.streaming,
     pauseSensitive: load.pauseSensitive,
+    heldTokens: Math.round(load.heldTokens),
+    shortShare: roundShare(load.shortShare),
+    longShare: roundShare(load.longShare),
     overdueMs: Math.max(0, Math.round(load.overdueMs)),
   }));
 }
+
+/** Two digits are enough, and an idle instance's reports stay the same. */
+function roundShare(share: number): number {
+  return Math.round(share * 100) / 100;
+}
--- a/packages/gateway/src/route-table.ts
+++ b/packages/gateway/src/route-table.ts
@@ -14,9 +14,13 @@
   private readonly servicesByName = new Map<string, Service>();
   private readonly tightestPauseByService = new Map<string, number>();
 
+  private readonly lowestRoutePriority: number;
+  private readonly lowestPriorityByService = new Map<string, number>();
+
   constructor(readonly bundle: RouteBundle) {
     this.version = bundle.version;
     for (const route of bundle.routes) this.#indexRoute(route);
+    this.lowestRoutePriority = Math.max(0, ...bundle.routes.map((route) => route.priority));
     for (const routes of this.routesByHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
@@ -45,6 +49,19 @@
     return this.tightestPauseByService.get(service);
   }
 
+  /** The least urgent priority among the streams that share a service's servers; a higher number is less urgent. */
+  getLowestStreamPriority(service: string): number | undefined {
+    return this.lowestPriorityByService.get(service);
+  }
+
+  /**
+   * Rank of a request among those that share its servers, 0 first: a team's priority goes before its route's.
+   * Requests of no team rank with the first team priority.
+   */
+  computeRank(route: Route, team: GatewayTeam | undefined): number {
+    return (team?.priority ?? 0) * (this.lowestRoutePriority + 1) + route.priority;
+  }
+
   #indexRoute(route: Route): void {
     const host = normalizeHost(route.host);
     const routes = this.routesByHost.get(host) ?? [];
@@ -52,6 +69,8 @@
     this.routesByHost.set(host, routes);
     if (route.pauseTargetMs === undefined) return;
     for (const { service } of route.services) {
+      const lowest = this.lowestPriorityByService.get(service) ?? 0;
+      this.lowestPriorityByService.set(service, Math.max(lowest, route.priority));
       const known = this.tightestPauseByService.get(service) ?? Infinity;
       this.tightestPauseByService.set(service, Math.min(known, route.pauseTargetMs));
     }
--- a/packages/gateway/src/server-chooser.ts
+++ b/packages/gateway/src/server-chooser.ts
@@ -3,6 +3,7 @@
   chooseServiceServer,
   DEFAULT_ENGINE_PROFILE,
   isLongPrompt,
+  isPauseSensitive,
 } from '@pollendrum/policy';
 import type {
   EngineProfile,
@@ -10,6 +11,7 @@
   LoadTable,
   PlacementOptions,
   PrefixView,
+  StreamPlacement,
   StreamRequest,
 } from '@pollendrum/policy';
 import type { ListedServer, Route, Service } from './bundle';
@@ -24,7 +26,11 @@
   predictedMs: number;
   prefillMs: number;
   queuedMs: number;
+  heldTokens: number;
   isPauseSensitive: boolean;
+  isLong: boolean;
+  /** The prediction for a stream; undefined for a plain request. */
+  placement: StreamPlacement | undefined;
   /** Whether nothing waited at the server, so that the prediction is one of its speed alone. */
   isUnqueued: boolean;
 }
@@ -37,8 +43,8 @@
   head: RequestHead;
   /** Tightest pause target on the service, in milliseconds. */
   tightestPauseMs: number | undefined;
-  /** Time that the caller still waits for the first byte, in milliseconds. */
-  patienceMs: number;
+  /** Time that is left for the whole answer, in milliseconds. */
+  remainingMs: number;
   excludedServerIds: ReadonlySet<string>;
 }
 
@@ -94,8 +100,9 @@
       promptTokens: head.promptTokens,
       parts: head.parts,
       targetMs: route.targetLatencyMs,
+      outputTokens: head.outputTokens,
       pauseTargetMs: route.pauseTargetMs ?? DEFAULT_PAUSE_MS,
-      patienceMs: request.patienceMs,
+      remainingMs: request.remainingMs,
     };
     const candidates = servers.map(({ serverId }) => ({
       serverId,
@@ -114,7 +121,10 @@
       predictedMs: placement.firstEventMs,
       prefillMs: placement.prefillMs,
       queuedMs: load.queuedPrefillMs,
-      isPauseSensitive: !isLongPrompt(streamRequest, options),
+      heldTokens: head.promptTokens + head.outputTokens,
+      isPauseSensitive: isPauseSensitive(streamRequest.pauseTargetMs, options),
+      isLong: isLongPrompt(streamRequest, options),
+      placement,
       isUnqueued: load.waiting === 0,
     };
   }
@@ -139,7 +149,10 @@
       predictedMs: speeds.getAnswerMs(server.serverId, nowMs),
       prefillMs: 0,
       queuedMs: 0,
+      heldTokens: 0,
       isPauseSensitive: false,
+      isLong: false,
+      placement: undefined,
       isUnqueued: load.waiting === 0,
     };
   }
--- a/packages/gateway/src/stream-flow.ts
+++ b/packages/gateway/src/stream-flow.ts
@@ -9,9 +9,8 @@
 const PATIENCE_MS = 2_000;
 const PATIENCE_TARGETS = 4;
 const PATIENCE_PAUSES = 8;
-/** Bounds of the time after which a refused caller may come back, in milliseconds. */
-const SHORTEST_RETRY_AFTER_MS = 200;
-const LONGEST_RETRY_AFTER_MS = 3_000;
+/** When a caller may come back that found no server, in milliseconds. */
+const DEFAULT_RETRY_AFTER_MS = 300;
 /** A resumable stream is continued elsewhere when its first event is this many predictions late. */
 const LATE_FIRST_EVENT_FACTOR = 3;
 const LATE_FIRST_EVENT_MARGIN_MS = 600;
@@ -135,11 +134,8 @@
       this.#fail(reason);
       return;
     }
-    const waitMs = refusal.kind === 'too-late' ? refusal.predictedMs - this.patienceMs / 2 : 0;
-    const retryAfterMs = Math.min(
-      LONGEST_RETRY_AFTER_MS,
-      Math.max(SHORTEST_RETRY_AFTER_MS, waitMs),
-    );
+    const retryAfterMs =
+      refusal.kind === 'too-late' ? refusal.retryAfterMs : DEFAULT_RETRY_AFTER_MS;
     this.exchange.refuse({ status: 503, reason, retryAfterMs });
   }
 
--- a/packages/policy/src/placement/engine-profile.ts
+++ b/packages/policy/src/placement/engine-profile.ts
@@ -4,8 +4,12 @@
   prefillTokensPerMs: number;
   /** Time for attention over a million pairs of tokens, in milliseconds. */
   attentionMsPerMillionPairs: number;
-  /** Time of a decoding step without prompt tokens, in milliseconds. */
+  /** Time of a decoding step of an empty engine, in milliseconds. */
   stepMs: number;
+  /** Added to a step by each running stream, in milliseconds. */
+  stepMsPerStream: number;
+  /** Added to a step by a thousand tokens of running streams, in milliseconds. */
+  stepMsPerThousandTokens: number;
   /** Most prompt tokens that one step reads. */
   chunkTokens: number;
   /** Tokens in one event of a stream, which is the number of steps between two events. */
@@ -18,9 +22,11 @@
 
 /** What is assumed of an engine before anything was observed; large current engines are near it. */
 export const DEFAULT_ENGINE_PROFILE: EngineProfile = {
-  prefillTokensPerMs: 60,
+  prefillTokensPerMs: 64,
   attentionMsPerMillionPairs: 0.5,
-  stepMs: 4.5,
+  stepMs: 4.2,
+  stepMsPerStream: 0.01,
+  stepMsPerThousandTokens: 0.006,
   chunkTokens: 2_048,
   tokensPerEvent: 5,
   slots: 64,
@@ -28,6 +34,7 @@
 };
 
 const PAIRS_PER_MILLION = 1_000_000;
+const THOUSAND = 1_000;
 
 /** Time to read a prompt of which `cachedTokens` are already in the engine's memory, in milliseconds. */
 export function estimatePrefillMs(
@@ -41,12 +48,32 @@
   return linearMs + (pairs / PAIRS_PER_MILLION) * profile.attentionMsPerMillionPairs;
 }
 
-/** Longest pause of a running stream while `queuedPrefillMs` of prompts are read beside it, in milliseconds. */
-export function estimateLongestPauseMs(profile: EngineProfile, queuedPrefillMs: number): number {
-  const chunkMs = profile.chunkTokens / profile.prefillTokensPerMs;
-  const readMs = Math.min(queuedPrefillMs, profile.tokensPerEvent * chunkMs * ATTENTION_FACTOR);
-  return profile.tokensPerEvent * profile.stepMs + readMs;
+/** Time of a decoding step beside which no prompt is read, in milliseconds. */
+export function estimateStepMs(
+  profile: EngineProfile,
+  streams: number,
+  heldTokens: number,
+): number {
+  return (
+    profile.stepMs +
+    profile.stepMsPerStream * streams +
+    profile.stepMsPerThousandTokens * (heldTokens / THOUSAND)
+  );
 }
 
-/** Chunks of long prompts take longer than their linear time because of attention. */
-const ATTENTION_FACTOR = 1.5;
+/**
+ * Longest pause of a running stream while prompts that take `prefillMs` in all are read beside it, the longest
+ * of `promptTokens`, in milliseconds. Each step between two events reads one chunk at most.
+ */
+export function estimateLongestPauseMs(
+  profile: EngineProfile,
+  stepMs: number,
+  prefillMs: number,
+  promptTokens: number,
+): number {
+  const { chunkTokens, tokensPerEvent } = profile;
+  const chunkPairs = (chunkTokens * promptTokens) / PAIRS_PER_MILLION;
+  const chunkMs =
+    chunkTokens / profile.prefillTokensPerMs + chunkPairs * profile.attentionMsPerMillionPairs;
+  return tokensPerEvent * stepMs + Math.min(prefillMs, tokensPerEvent * chunkMs);
+}
--- /dev/null
+++ b/packages/policy/src/placement/stream-admission.ts
@@ -0,0 +1,60 @@
+import type { StreamPlacement } from './stream-placement';
+
+/** What admission knows of a stream beside its best placement. */
+export interface AdmissionRequest {
+  targetMs: number;
+  /** Time after which the caller leaves without a first event, in milliseconds. */
+  patienceMs: number;
+  /** Time that is left for the whole answer, in milliseconds. */
+  remainingMs: number;
+  /** Time that the operator allows for the whole answer, in milliseconds. */
+  timeoutMs: number;
+  /** Whether no less urgent class of requests shares the servers. */
+  isLowestTier: boolean;
+}
+
+export type Admission =
+  { kind: 'admit' } | { kind: 'refuse'; predictedMs: number; retryAfterMs: number };
+
+/** A prediction may use up this share of a caller's patience. */
+const PATIENCE_SHARE = 0.9;
+/**
+ * Streams of the lowest tier are refused when they would be late: in lasting overload as many are served, but
+ * on time, and the more urgent ones find room.
+ */
+const LOWEST_TIER_TARGET_SHARE = 0.9;
+/** A caller with less than this share of the timeout left has been refused before; it is served late rather than never. */
+const RETURNED_SHARE = 0.78;
+/** Callers honour a delay up to a third of the time that they have left. */
+const LONGEST_DELAY_SHARE = 0.32;
+const SHORTEST_DELAY_MS = 200;
+/** Delays are spread by this share either way, so that refused callers do not return as one wave. */
+const SPREAD = 0.3;
+
+/** Decides whether a stream is sent to its best placement or told to come back. `random` is in 0 to 1. */
+export function admitStream(
+  request: AdmissionRequest,
+  placement: StreamPlacement,
+  random: number,
+): Admission {
+  const limitMs = computeFirstEventLimitMs(request);
+  const isInTime =
+    placement.firstEventMs <= limitMs &&
+    placement.completionMs <= request.remainingMs * COMPLETION_SHARE;
+  if (isInTime) return { kind: 'admit' };
+  const excessMs = Math.max(placement.firstEventMs - limitMs / 2, request.targetMs / 2);
+  const spreadMs = excessMs * (1 + SPREAD * (2 * random - 1));
+  const longestMs = request.remainingMs * LONGEST_DELAY_SHARE;
+  const retryAfterMs = Math.min(longestMs, Math.max(SHORTEST_DELAY_MS, spreadMs));
+  return { kind: 'refuse', predictedMs: placement.firstEventMs, retryAfterMs };
+}
+
+/** A stream that would just miss its time limit may still make it, since predictions are cautious. */
+const COMPLETION_SHARE = 1.15;
+
+function computeFirstEventLimitMs(request: AdmissionRequest): number {
+  const patienceMs = Math.min(request.patienceMs, request.remainingMs) * PATIENCE_SHARE;
+  const hasReturned = request.remainingMs < request.timeoutMs * RETURNED_SHARE;
+  if (!request.isLowestTier || hasReturned) return patienceMs;
+  return Math.min(patienceMs, request.targetMs * LOWEST_TIER_TARGET_SHARE);
+}
--- a/packages/policy/src/placement/stream-placement.ts
+++ b/packages/policy/src/placement/stream-placement.ts
@@ -1,5 +1,5 @@
 import { computeScore, hashToUint32 } from '../rendezvous';
-import { estimateLongestPauseMs, estimatePrefillMs } from './engine-profile';
+import { estimateLongestPauseMs, estimatePrefillMs, estimateStepMs } from './engine-profile';
 import type { EngineProfile } from './engine-profile';
 import type { ServerLoad } from './load-table';
 import type { PromptPart } from './prefix-view';
@@ -8,12 +8,14 @@
 export interface StreamRequest {
   promptTokens: number;
   parts: readonly PromptPart[];
+  /** Expected length of the answer, in tokens. */
+  outputTokens: number;
   /** Time to the first event within which the answer is on time, in milliseconds. */
   targetMs: number;
   /** Longest pause between events within which the answer is on time, in milliseconds. */
   pauseTargetMs: number;
-  /** Time after which a first event is of no use to the caller, in milliseconds. */
-  patienceMs: number;
+  /** Time that is left for the whole answer, in milliseconds. */
+  remainingMs: number;
 }
 
 /** What is known of a backend server when a stream is placed. */
@@ -33,6 +35,8 @@
   prefillMs: number;
   /** Predicted time to the first event, in milliseconds. */
   firstEventMs: number;
+  /** Predicted time to the end of the answer, in milliseconds. */
+  completionMs: number;
 }
 
 export interface PlacementOptions {
@@ -42,21 +46,37 @@
 }
 
 /** Weights of the parts of a placement's cost; 1 is one request that is certainly late. */
-const HOME_WEIGHT = 0.25;
-const AFFINITY_WEIGHT = 0.08;
+const HOME_WEIGHT = 0.15;
+const AFFINITY_WEIGHT = 0.06;
 const FAILURE_WEIGHT = 2;
-const AVOIDED_WEIGHT = 5;
+const AVOIDED_WEIGHT = 6;
 const WORK_WEIGHT = 0.3;
 /** Prefill time whose cost is `WORK_WEIGHT`, in milliseconds. */
 const WORK_SCALE_MS = 500;
-/** Share of the servers that are home to short prompts; long ones are at home on the others. */
-const SHORT_HOME_SHARE = 0.5;
+/** Spreads streams over servers that are otherwise alike. */
+const OCCUPANCY_WEIGHT = 0.3;
+const BUSY_WEIGHT = 0.15;
 /** A prompt is long if its prefill alone takes this share of the tightest pause. */
 const LONG_PREFILL_SHARE = 0.25;
 /** Share of a target that a prediction may use up before lateness becomes likely. */
 const SAFE_SHARE = 0.6;
-/** A server that holds streams counts them against those it can run, so that streams spread over the home servers. */
-const OCCUPANCY_WEIGHT = 0.3;
+/** Share of a pause target that a predicted pause may use up before it is likely missed. */
+const SAFE_PAUSE_SHARE = 0.8;
+/** Streams beyond the slots wait until others end; an end frees a slot about every this many milliseconds. */
+const SLOT_RELEASE_MS = 40;
+/** Share of an engine's memory that running streams may hold before some are preempted. */
+const SAFE_MEMORY_SHARE = 0.85;
+const MEMORY_WEIGHT = 3;
+/** Decoding gets at least this share of an engine's time in predictions. */
+const LEAST_DECODE_SHARE = 0.08;
+
+/** Time of prefills that a home server takes well, as a share of its time. */
+const SHORT_HOME_LOAD = 0.35;
+const LONG_HOME_LOAD = 0.6;
+/** Servers that each kind is allotted beyond its load, so that a quiet kind keeps some. */
+const IDLE_HOME_SERVERS = 0.3;
+const LEAST_SHORT_SHARE = 0.25;
+const MOST_SHORT_SHARE = 0.7;
 
 /**
  * Chooses the server where a stream does least harm: to itself by waiting, and to the streams that run there
@@ -72,17 +92,20 @@
   let best: StreamPlacement | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
-    const placement = predictPlacement(request, candidate, options.profile);
+    const isAffine = candidate.serverId === affinityId;
+    const cachedTokens = isAffine
+      ? Math.max(candidate.cachedTokens, countSharedTokens(request))
+      : candidate.cachedTokens;
+    const placement = predictPlacement(request, { ...candidate, cachedTokens }, options.profile);
     const cost =
-      computeLateness(placement.firstEventMs, request.targetMs) +
-      computeHarm(candidate, placement.prefillMs, options) +
+      computeOwnCost(request, placement) +
+      computeHarm(request, candidate, placement.prefillMs, options) +
+      computeCongestion(request, candidate.load, options.profile) +
       WORK_WEIGHT * (placement.prefillMs / WORK_SCALE_MS) +
-      OCCUPANCY_WEIGHT *
-        ((candidate.load.streaming + candidate.load.waiting) / options.profile.slots) +
       FAILURE_WEIGHT * candidate.failureShare +
       (candidate.isAvoided ? AVOIDED_WEIGHT : 0) +
       (homes.has(candidate.serverId) ? 0 : HOME_WEIGHT) -
-      (candidate.serverId === affinityId ? AFFINITY_WEIGHT : 0);
+      (isAffine ? AFFINITY_WEIGHT : 0);
     if (cost >= bestCost) continue;
     best = placement;
     bestCost = cost;
@@ -95,72 +118,136 @@
   candidate: StreamCandidate,
   profile: EngineProfile,
 ): StreamPlacement {
-  const { load, slowness, serverId } = candidate;
-  const prefillMs =
-    slowness * estimatePrefillMs(profile, request.promptTokens, candidate.cachedTokens);
-  const slotWaitMs = estimateSlotWaitMs(load, profile);
-  const waitMs = load.queuedPrefillMs + Math.max(0, load.overdueMs) + slotWaitMs;
-  const firstEventMs = waitMs + prefillMs + slowness * profile.tokensPerEvent * profile.stepMs;
-  return { serverId, prefillMs, firstEventMs };
+  const { load, slowness, serverId, cachedTokens } = candidate;
+  const prefillMs = slowness * estimatePrefillMs(profile, request.promptTokens, cachedTokens);
+  const waitMs =
+    load.queuedPrefillMs + Math.max(0, load.overdueMs) + estimateSlotWaitMs(load, profile);
+  const stepMs = slowness * estimateStepMs(profile, load.streaming, load.heldTokens);
+  const firstEventMs = waitMs + prefillMs + profile.tokensPerEvent * stepMs;
+  const decodeShare = Math.max(LEAST_DECODE_SHARE, 1 - load.shortShare - load.longShare);
+  const completionMs = firstEventMs + (request.outputTokens * stepMs) / decodeShare;
+  return { serverId, prefillMs, firstEventMs, completionMs };
 }
 
-/** Streams beyond the slots wait until others end; an end frees a slot about every this many milliseconds. */
-const SLOT_RELEASE_MS = 40;
-
 function estimateSlotWaitMs(load: ServerLoad, profile: EngineProfile): number {
   const excess = load.streaming + load.waiting + 1 - profile.slots;
   return excess > 0 ? excess * SLOT_RELEASE_MS : 0;
 }
 
-/** Probability that the answer is late, 0 to 1: none below the safe share of the target, certain at the target. */
-function computeLateness(predictedMs: number, targetMs: number): number {
-  const used = predictedMs / targetMs;
+function computeOwnCost(request: StreamRequest, placement: StreamPlacement): number {
+  const lateness = computeLateness(placement.firstEventMs / request.targetMs);
+  const completionUse = placement.completionMs / request.remainingMs;
+  return lateness + Math.max(0, completionUse - SAFE_SHARE);
+}
+
+/** Cost of using this share of a target: little below the safe share, 1 at the target, then slowly more. */
+function computeLateness(used: number): number {
   if (used <= SAFE_SHARE) return 0.2 * used;
-  return Math.min(0.12 + (used - SAFE_SHARE) * 2, 2 + used / 10);
+  return Math.min(0.12 + (used - SAFE_SHARE) * 2.2, 1 + used / 5);
 }
 
 /** Expected number of running streams that the added prefill makes late. */
 function computeHarm(
+  request: StreamRequest,
   candidate: StreamCandidate,
   prefillMs: number,
   options: PlacementOptions,
 ): number {
   const { load, slowness } = candidate;
-  const pauseMs =
-    estimateLongestPauseMs(options.profile, load.queuedPrefillMs + prefillMs) * slowness;
+  if (load.pauseSensitive === 0) return 0;
+  const stepMs = slowness * estimateStepMs(options.profile, load.streaming, load.heldTokens);
+  const pauseMs = estimateLongestPauseMs(
+    options.profile,
+    stepMs,
+    load.queuedPrefillMs + prefillMs,
+    request.promptTokens * slowness,
+  );
   const used = pauseMs / options.tightestPauseMs;
-  if (used <= SAFE_SHARE) return 0;
-  return load.pauseSensitive * Math.min(1, (used - SAFE_SHARE) / (1 - SAFE_SHARE));
+  if (used <= SAFE_PAUSE_SHARE) return 0;
+  return load.pauseSensitive * Math.min(1, (used - SAFE_PAUSE_SHARE) / (1 - SAFE_PAUSE_SHARE));
 }
 
+/** Cost of a server's occupancy to the request itself and to those that come after it. */
+function computeCongestion(
+  request: StreamRequest,
+  load: ServerLoad,
+  profile: EngineProfile,
+): number {
+  const occupancy = (load.streaming + load.waiting) / profile.slots;
+  const held = (load.heldTokens + request.promptTokens + request.outputTokens) / profile.kvTokens;
+  const memory = Math.max(0, held - SAFE_MEMORY_SHARE);
+  const busy = load.shortShare + load.longShare;
+  return OCCUPANCY_WEIGHT * occupancy + MEMORY_WEIGHT * memory + BUSY_WEIGHT * busy;
+}
+
+/** Splits the servers between short and long prompts in proportion to the prefill time that each kind takes. */
 function selectHomes(
   request: StreamRequest,
   candidates: readonly StreamCandidate[],
   options: PlacementOptions,
 ): ReadonlySet<string> {
   const ordered = candidates.map((candidate) => candidate.serverId).sort(compareByHash);
-  const shortCount = Math.max(1, Math.round(ordered.length * SHORT_HOME_SHARE));
+  const shortCount = Math.max(1, Math.round(ordered.length * computeShortShare(candidates)));
   const isLong = isLongPrompt(request, options);
   return new Set(isLong ? ordered.slice(shortCount) : ordered.slice(0, shortCount));
 }
 
+/** Share of the servers that are home to short prompts. */
+function computeShortShare(candidates: readonly StreamCandidate[]): number {
+  let shortLoad = 0;
+  let longLoad = 0;
+  for (const { load } of candidates) {
+    shortLoad += load.shortShare;
+    longLoad += load.longShare;
+  }
+  const shortServers = shortLoad / SHORT_HOME_LOAD + IDLE_HOME_SERVERS;
+  const longServers = longLoad / LONG_HOME_LOAD + IDLE_HOME_SERVERS;
+  const share = shortServers / (shortServers + longServers);
+  return Math.min(MOST_SHORT_SHARE, Math.max(LEAST_SHORT_SHARE, share));
+}
+
 /** Whether reading the prompt alone is a noticeable pause to the streams beside it. */
-export function isLongPrompt(request: StreamRequest, options: PlacementOptions): boolean {
+export function isLongPrompt(
+  request: Pick<StreamRequest, 'promptTokens'>,
+  options: PlacementOptions,
+): boolean {
   const aloneMs = estimatePrefillMs(options.profile, request.promptTokens, 0);
   return aloneMs > LONG_PREFILL_SHARE * options.tightestPauseMs;
 }
 
+/** Whether a long prefill beside a stream with this pause target can make it late. */
+export function isPauseSensitive(pauseTargetMs: number, options: PlacementOptions): boolean {
+  const { profile } = options;
+  const fullPauseMs = estimateLongestPauseMs(
+    profile,
+    profile.stepMs,
+    Infinity,
+    TYPICAL_LONG_PROMPT,
+  );
+  return pauseTargetMs < SENSITIVE_FACTOR * fullPauseMs;
+}
+
+/** Prompt by which pause sensitivity is judged, in tokens. */
+const TYPICAL_LONG_PROMPT = 10_000;
+/** Pause targets up to this multiple of the longest typical pause count as tight. */
+const SENSITIVE_FACTOR = 1.2;
+
 /** Every instance orders servers alike, whatever the order of its list. */
 function compareByHash(a: string, b: string): number {
   return hashToUint32(a) - hashToUint32(b) || (a < b ? -1 : 1);
 }
 
-/** The last part belongs to the request alone; the one before it is what requests of a subject share. */
+/** The last part belongs to the request alone, the others may be cached. */
+function countSharedTokens(request: StreamRequest): number {
+  return request.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+}
+
+/** The server where all instances send requests that share their last common part, while it is not too busy. */
 function chooseAffinityServer(
   request: StreamRequest,
   homes: ReadonlySet<string>,
 ): string | undefined {
-  const shared = request.parts.at(-2) ?? request.parts.at(-1);
+  const shared = request.parts.at(-2);
   if (shared === undefined) return undefined;
   const keyHash = hashToUint32(shared.id);
   let best: string | undefined;
