Tell a reset from the end of an answer when both arrive with data

Ruled out: the order of listeners; the trace shows 'end' before 'error'. Change: at the end of a stream a socket without a peer was reset. The new test sends data and reset together and fails without the change.

--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -148,6 +148,11 @@
     socket.once('connect', () => {
       settle(null);
     });
+    // libuv reports the end of the stream when a reset arrives together with data. Only a reset socket has no
+    // peer any more, and Node keeps the first answer, so the peer must not be asked for before.
+    socket.prependListener('end', () => {
+      if (socket.remoteAddress === undefined) state.wasReset = true;
+    });
     // Runs before undici's listener, which takes a reset for the end of an answer without a length.
     socket.on('error', (error) => {
       state.wasReset = true;
--- a/packages/gateway/test/backend-attempt.test.ts
+++ b/packages/gateway/test/backend-attempt.test.ts
@@ -14,6 +14,13 @@
 }
 
 const RESET_DELAY_MS = 30;
+const BLOCK_MS = 50;
+
+/** Keeps the client, which runs in the same process, from reading before the reset has arrived. */
+function blockEventLoop(forMs: number): void {
+  const untilMs = performance.now() + forMs;
+  while (performance.now() < untilMs);
+}
 
 async function resetLater(socket: Socket): Promise<void> {
   await sleep(RESET_DELAY_MS);
@@ -43,6 +50,16 @@
     end: 'broken',
     body: 'ab',
   },
+  {
+    // libuv reports an orderly end when data and the reset are polled together.
+    name: 'an answer without a length whose reset arrives with its last bytes is broken',
+    answer: (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nab', () => socket.resetAndDestroy());
+      blockEventLoop(BLOCK_MS);
+    },
+    end: 'broken',
+    body: 'ab',
+  },
   {
     name: 'an answer that is shorter than its length is broken',
     answer: (socket) => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nab'),
