Share the blame for pauses by prefill time and learn the pace of servers

Change: blame in proportion to prefill time, exposure of chats to long prompts, server pace from the lower quartile of pauses, overhead of a first event apart from the ratio of prefills, prefill time dearer when all servers are busy.

--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -11,7 +11,7 @@
 const IDLE_MARGIN_MS = 1_000;
 const KEEP_ALIVE_PROBE_MS = 1_000;
 /** An idle connection older than this is not used for a request that must not be repeated, in milliseconds. */
-const SAFE_IDLE_MS = 2_000;
+const SAFE_IDLE_MS = 6_000;
 
 /** What the connector saw of a client's socket. */
 interface SocketState {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -29,6 +29,8 @@
   readonly attempts: AttemptRecord[] = [];
   private outcome: RequestOutcome | undefined;
   private firstByteAtMs: number | undefined;
+  private lastEventAtMs: number | undefined;
+  private longestPauseMs: number | undefined;
 
   constructor(
     readonly context: GatewayContext,
@@ -62,6 +64,17 @@
     this.context.metrics.firstByteMs.observe({ route: this.input.route.name }, elapsedMs);
   }
 
+  /** Notes that events of a stream were passed on; the longest pause tells a late stream from one on time. */
+  markEvent(serverId: string): void {
+    const nowMs = this.context.clock();
+    if (this.lastEventAtMs !== undefined) {
+      const pauseMs = nowMs - this.lastEventAtMs;
+      this.longestPauseMs = Math.max(this.longestPauseMs ?? 0, pauseMs);
+      this.context.chooser.recordPause(serverId, pauseMs, nowMs);
+    }
+    this.lastEventAtMs = nowMs;
+  }
+
   /** Answers with a status of the gateway's own. */
   refuse(refusal: Refusal): void {
     if (this.isEnded()) return;
@@ -98,6 +111,8 @@
       elapsedMs: Math.round(elapsedMs),
       firstByteMs:
         this.firstByteAtMs === undefined ? undefined : Math.round(this.firstByteAtMs - arrivedAtMs),
+      longestPauseMs:
+        this.longestPauseMs === undefined ? undefined : Math.round(this.longestPauseMs),
       deadlineMs: Math.round(this.deadlineAtMs - arrivedAtMs),
       promptTokens: head.promptTokens || undefined,
       bundleVersion,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,13 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { createRetryBudget, FailureTracker, LoadTable, PrefixView } from '@pollendrum/policy';
+import {
+  createRetryBudget,
+  FailureTracker,
+  LoadTable,
+  PrefixView,
+  SpeedTracker,
+} from '@pollendrum/policy';
 import { formatFinding } from '@pollendrum/protocol';
 import type { GatewaySettings, ParseResult } from '@pollendrum/protocol';
 import { BackendPool } from './backend-pool';
@@ -20,7 +26,6 @@
 import { ServerChooser } from './server-chooser';
 import { ServerRegistry } from './server-registry';
 import type { ServerChange } from './server-registry';
-import { SpeedTracker } from './speed-tracker';
 import type { ObjectStore, StoredObject } from './store-port';
 
 /** How the platform's objects are read. */
--- a/packages/gateway/src/server-chooser.ts
+++ b/packages/gateway/src/server-chooser.ts
@@ -11,13 +11,13 @@
   LoadTable,
   PlacementOptions,
   PrefixView,
+  SpeedTracker,
   StreamPlacement,
   StreamRequest,
 } from '@pollendrum/policy';
 import type { ListedServer, Route, Service } from './bundle';
 import type { RequestHead } from './header-codec';
 import type { ServerRegistry } from './server-registry';
-import type { SpeedTracker } from './speed-tracker';
 
 /** A server chosen for a request, with the prediction that the choice rests on. */
 export interface ServerChoice {
@@ -76,8 +76,13 @@
   }
 
   /** Records the time to a first event at a server where nothing waited before it. */
-  recordFirstEvent(serverId: string, observedMs: number, predictedMs: number, nowMs: number): void {
-    this.options.speeds.recordFirstEvent(serverId, observedMs, predictedMs, nowMs);
+  recordFirstEvent(observedMs: number, predicted: StreamPlacement): void {
+    this.options.speeds.recordFirstEvent(observedMs, predicted);
+  }
+
+  /** Records the time between two events of a stream. */
+  recordPause(serverId: string, pauseMs: number, nowMs: number): void {
+    this.options.speeds.recordPause(serverId, pauseMs, nowMs);
   }
 
   /** Records the time of a whole plain answer. */
@@ -94,6 +99,7 @@
     const { head, route } = request;
     const options: PlacementOptions = {
       profile: makeProfile(request.service),
+      firstEventOverheadMs: speeds.getFirstEventOverheadMs(),
       tightestPauseMs: request.tightestPauseMs ?? DEFAULT_PAUSE_MS,
     };
     const streamRequest: StreamRequest = {
@@ -104,11 +110,15 @@
       pauseTargetMs: route.pauseTargetMs ?? DEFAULT_PAUSE_MS,
       remainingMs: request.remainingMs,
     };
+    const slowness = speeds.listSlowness(
+      servers.map(({ serverId }) => serverId),
+      nowMs,
+    );
     const candidates = servers.map(({ serverId }) => ({
       serverId,
       load: loads.getLoad(serverId, nowMs),
       cachedTokens: prefixes.countCachedTokens(serverId, head.parts, nowMs),
-      slowness: speeds.getSlowness(serverId, nowMs),
+      slowness: slowness.get(serverId) ?? 1,
       failureShare: failures.getFailureShare(serverId, nowMs),
       isAvoided: failures.isAvoided(serverId, nowMs),
     }));
--- a/packages/gateway/src/stream-flow.ts
+++ b/packages/gateway/src/stream-flow.ts
@@ -208,7 +208,7 @@
           }
           if (!dispatch.placed.isStreaming) this.#recordFirstEvent(dispatch, startedAtMs);
           armSilenceTimer(this.silenceMs);
-          return this.#relay(splitter, chunk, received);
+          return this.#relay(dispatch.choice.server.serverId, splitter, chunk, received);
         },
         onEnd: (end) => {
           settle(
@@ -234,21 +234,23 @@
     const { context } = this.exchange;
     const nowMs = context.clock();
     context.loads.markStreaming(dispatch.placed);
-    if (!dispatch.choice.isUnqueued) return;
-    context.chooser.recordFirstEvent(
-      dispatch.choice.server.serverId,
-      nowMs - startedAtMs,
-      dispatch.choice.predictedMs,
-      nowMs,
-    );
+    const { placement, isUnqueued } = dispatch.choice;
+    if (placement === undefined || !isUnqueued) return;
+    context.chooser.recordFirstEvent(nowMs - startedAtMs, placement);
   }
 
   /** Passes whole events on; a stream that cannot be continued needs no splitting. */
-  #relay(splitter: EventSplitter, chunk: Buffer, answer: AttemptAnswer | undefined): boolean {
+  #relay(
+    serverId: string,
+    splitter: EventSplitter,
+    chunk: Buffer,
+    answer: AttemptAnswer | undefined,
+  ): boolean {
     const { response } = this.exchange.input;
     const events = splitter.readEvents(chunk);
     this.lastEventId = events.lastEventId ?? this.lastEventId;
     if (events.bytes.length === 0) return true;
+    this.exchange.markEvent(serverId);
     if (!this.isHeadSent && answer !== undefined) {
       this.isHeadSent = true;
       this.firstHead ??= {
--- a/packages/policy/src/placement/index.ts
+++ b/packages/policy/src/placement/index.ts
@@ -4,5 +4,6 @@
 export * from './prefix-view';
 export * from './service-placement';
 export * from './share-meter';
+export * from './speed-tracker';
 export * from './stream-admission';
 export * from './stream-placement';
--- a/packages/policy/src/placement/stream-placement.ts
+++ b/packages/policy/src/placement/stream-placement.ts
@@ -41,27 +41,34 @@
 
 export interface PlacementOptions {
   profile: EngineProfile;
+  /** What a first event takes beside its prefill and its decoding, in milliseconds. */
+  firstEventOverheadMs: number;
   /** Tightest pause target over the routes of the service, in milliseconds. */
   tightestPauseMs: number;
 }
 
 /** Weights of the parts of a placement's cost; 1 is one request that is certainly late. */
 const HOME_WEIGHT = 0.15;
-const AFFINITY_WEIGHT = 0.06;
+const AFFINITY_WEIGHT = 0.1;
+const EXPOSURE_WEIGHT = 0.5;
+/** A stream is exposed for about a second, in which a server that reads long prompts half of its time reads one. */
+const EXPOSURE_PER_LONG_SHARE = 2;
 const FAILURE_WEIGHT = 2;
 const AVOIDED_WEIGHT = 6;
-const WORK_WEIGHT = 0.3;
-/** Prefill time whose cost is `WORK_WEIGHT`, in milliseconds. */
+/** Cost of prefill time while the servers are idle and, on top, while they are busy all the time. */
+const IDLE_WORK_WEIGHT = 0.3;
+const BUSY_WORK_WEIGHT = 3;
+/** Prefill time that these weights are for, in milliseconds. */
 const WORK_SCALE_MS = 500;
 /** Spreads streams over servers that are otherwise alike. */
-const OCCUPANCY_WEIGHT = 0.3;
+const OCCUPANCY_WEIGHT = 0.2;
 const BUSY_WEIGHT = 0.15;
 /** A prompt is long if its prefill alone takes this share of the tightest pause. */
 const LONG_PREFILL_SHARE = 0.25;
 /** Share of a target that a prediction may use up before lateness becomes likely. */
 const SAFE_SHARE = 0.6;
-/** Share of a pause target that a predicted pause may use up before it is likely missed. */
-const SAFE_PAUSE_SHARE = 0.8;
+/** Share of a pause target that a predicted pause may use up without any risk. */
+const SAFE_PAUSE_SHARE = 0.5;
 /** Streams beyond the slots wait until others end; an end frees a slot about every this many milliseconds. */
 const SLOT_RELEASE_MS = 40;
 /** Share of an engine's memory that running streams may hold before some are preempted. */
@@ -89,6 +96,7 @@
 ): StreamPlacement | undefined {
   const homes = selectHomes(request, candidates, options);
   const affinityId = chooseAffinityServer(request, homes);
+  const workCostPerMs = computeWorkCost(candidates);
   let best: StreamPlacement | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
@@ -96,12 +104,13 @@
     const cachedTokens = isAffine
       ? Math.max(candidate.cachedTokens, countSharedTokens(request))
       : candidate.cachedTokens;
-    const placement = predictPlacement(request, { ...candidate, cachedTokens }, options.profile);
+    const placement = predictPlacement(request, { ...candidate, cachedTokens }, options);
     const cost =
       computeOwnCost(request, placement) +
       computeHarm(request, candidate, placement.prefillMs, options) +
+      EXPOSURE_WEIGHT * computeExposure(request, candidate.load, options) +
       computeCongestion(request, candidate.load, options.profile) +
-      WORK_WEIGHT * (placement.prefillMs / WORK_SCALE_MS) +
+      workCostPerMs * placement.prefillMs +
       FAILURE_WEIGHT * candidate.failureShare +
       (candidate.isAvoided ? AVOIDED_WEIGHT : 0) +
       (homes.has(candidate.serverId) ? 0 : HOME_WEIGHT) -
@@ -113,17 +122,25 @@
   return best;
 }
 
+/** Server time is worth more the busier all servers are: in overload each prompt read again displaces another. */
+function computeWorkCost(candidates: readonly StreamCandidate[]): number {
+  let busy = 0;
+  for (const { load } of candidates) busy += load.shortShare + load.longShare;
+  const meanBusy = Math.min(1, busy / Math.max(1, candidates.length));
+  return (IDLE_WORK_WEIGHT + BUSY_WORK_WEIGHT * meanBusy * meanBusy) / WORK_SCALE_MS;
+}
+
 function predictPlacement(
   request: StreamRequest,
   candidate: StreamCandidate,
-  profile: EngineProfile,
+  { profile, firstEventOverheadMs }: PlacementOptions,
 ): StreamPlacement {
   const { load, slowness, serverId, cachedTokens } = candidate;
   const prefillMs = slowness * estimatePrefillMs(profile, request.promptTokens, cachedTokens);
   const waitMs =
     load.queuedPrefillMs + Math.max(0, load.overdueMs) + estimateSlotWaitMs(load, profile);
   const stepMs = slowness * estimateStepMs(profile, load.streaming, load.heldTokens);
-  const firstEventMs = waitMs + prefillMs + profile.tokensPerEvent * stepMs;
+  const firstEventMs = waitMs + prefillMs + firstEventOverheadMs + profile.tokensPerEvent * stepMs;
   const decodeShare = Math.max(LEAST_DECODE_SHARE, 1 - load.shortShare - load.longShare);
   const completionMs = firstEventMs + (request.outputTokens * stepMs) / decodeShare;
   return { serverId, prefillMs, firstEventMs, completionMs };
@@ -146,7 +163,10 @@
   return Math.min(0.12 + (used - SAFE_SHARE) * 2.2, 1 + used / 5);
 }
 
-/** Expected number of running streams that the added prefill makes late. */
+/**
+ * Expected number of running streams that the added prefill makes late. Prompts that are read together share the
+ * blame by their prefill time, so a short one is not kept from a server for the sake of a long one before it.
+ */
 function computeHarm(
   request: StreamRequest,
   candidate: StreamCandidate,
@@ -162,9 +182,28 @@
     load.queuedPrefillMs + prefillMs,
     request.promptTokens * slowness,
   );
-  const used = pauseMs / options.tightestPauseMs;
-  if (used <= SAFE_PAUSE_SHARE) return 0;
-  return load.pauseSensitive * Math.min(1, (used - SAFE_PAUSE_SHARE) / (1 - SAFE_PAUSE_SHARE));
+  const missedShare = estimateMissedShare(pauseMs / options.tightestPauseMs);
+  const blame = prefillMs / (load.queuedPrefillMs + prefillMs + 1);
+  return load.pauseSensitive * missedShare * blame;
+}
+
+/** Probability that prompts read beside a stream with a tight pause target make it late. */
+function computeExposure(
+  request: StreamRequest,
+  load: ServerLoad,
+  options: PlacementOptions,
+): number {
+  if (!isPauseSensitive(request.pauseTargetMs, options)) return 0;
+  return Math.min(1, load.longShare * EXPOSURE_PER_LONG_SHARE);
+}
+
+/**
+ * Share of streams that miss their pause target when the predicted pause uses up this share of it. Prompts come
+ * in clumps that no instance sees in time, so pauses well below the target already count a little.
+ */
+function estimateMissedShare(used: number): number {
+  const excess = Math.max(0, used - SAFE_PAUSE_SHARE) / (1 - SAFE_PAUSE_SHARE);
+  return Math.min(1, excess * excess);
 }
 
 /** Cost of a server's occupancy to the request itself and to those that come after it. */
