Share what instances know of cached prompts

Cause: an instance knew only the prompts that it had sent itself, a sixth to a ninth of all, and took the affine server's cache for granted. Change: load reports carry the shared parts of prompts sent since the previous one; the border between short and long prompts has hysteresis, so that keys do not move back and forth.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -195,7 +195,10 @@
     this.exchange.attempts.push(record);
     const engine = this.service?.engine;
     if (engine !== undefined) {
-      context.prefixes.record(placed.serverId, input.head.parts, engine.kvTokens, nowMs);
+      const { heldTokens } = context.loads.getLoad(placed.serverId, nowMs);
+      const memory = { kvTokens: engine.kvTokens, heldTokens };
+      context.prefixes.record(placed.serverId, input.head.parts, memory, nowMs);
+      context.reportPrompt(placed.serverId, input.head.parts.slice(0, -1));
     }
     return { choice, record, placed, connection };
   }
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -1,4 +1,10 @@
-import type { LoadTable, PrefixView, FailureTracker, RetryBudget } from '@pollendrum/policy';
+import type {
+  FailureTracker,
+  LoadTable,
+  PrefixView,
+  PromptPart,
+  RetryBudget,
+} from '@pollendrum/policy';
 import type { GatewaySettings } from '@pollendrum/protocol';
 import type { BackendPool } from './backend-pool';
 import type { GatewayMetrics } from './gateway-metrics';
@@ -26,6 +32,8 @@
   chooser: ServerChooser;
   /** The configuration in force; undefined until the first one is read. */
   getTable(): RouteTable | undefined;
+  /** Tells the other instances which shared parts of a prompt were sent to a server. */
+  reportPrompt(serverId: string, parts: readonly PromptPart[]): void;
   /** Whether the instance is stopping, so that callers are told to reconnect elsewhere. */
   isDraining(): boolean;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,7 @@
   SpeedTracker,
 } from '@pollendrum/policy';
 import { formatFinding } from '@pollendrum/protocol';
-import type { GatewaySettings, ParseResult } from '@pollendrum/protocol';
+import type { GatewaySettings, ParseResult, ReportedPrompt } from '@pollendrum/protocol';
 import { BackendPool } from './backend-pool';
 import type { ListedServer, RouteBundle } from './bundle';
 import { createCallerServer } from './caller-server';
@@ -111,6 +111,9 @@
         speeds,
       }),
       getTable: () => this.table,
+      reportPrompt: (serverId, parts) => {
+        this.exchange.addPrompt({ serverId, parts: [...parts] });
+      },
       isDraining: () => this.isStopping,
     };
     this.exchange = new LoadExchange({
@@ -120,6 +123,9 @@
       loads,
       clock,
       log,
+      onPrompt: (prompt) => {
+        this.#handlePeerPrompt(prompt);
+      },
     });
     this.callers = createCallerServer(this.context);
     this.watchers = this.#createWatchers();
@@ -281,6 +287,17 @@
     ];
   }
 
+  #handlePeerPrompt({ serverId, parts }: ReportedPrompt): void {
+    const { registry, prefixes, loads, clock } = this.context;
+    const serviceName = registry.get(serverId)?.service;
+    if (serviceName === undefined) return;
+    const kvTokens = this.table?.getService(serviceName)?.engine?.kvTokens;
+    if (kvTokens === undefined) return;
+    const nowMs = clock();
+    const { heldTokens } = loads.getLoad(serverId, nowMs);
+    prefixes.record(serverId, parts, { kvTokens, heldTokens }, nowMs);
+  }
+
   #putPeer(object: StoredObject): void {
     const { address, port } = (object.spec ?? {}) as { address?: unknown; port?: unknown };
     if (typeof address !== 'string' || typeof port !== 'number') {
--- a/packages/gateway/src/load-exchange.ts
+++ b/packages/gateway/src/load-exchange.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:dgram';
 import type { LoadTable, ServerLoad } from '@pollendrum/policy';
 import { decodeCbor, encodeCbor, isValidLoadReport } from '@pollendrum/protocol';
+import type { ReportedPrompt } from '@pollendrum/protocol';
 import type { Clock, GatewayLog } from './ports';
 
 /** A change of the own load is reported after this time at the latest, in milliseconds. */
@@ -10,6 +11,8 @@
 const REPORTS_PER_SECOND = 400;
 /** An unchanged load is reported again after this time, in milliseconds; peers forget it after 2 s. */
 const REPEAT_INTERVAL_MS = 600;
+/** Prompts in one report at most, so that a datagram stays under 64 KB; losing some costs a prefill. */
+const MOST_PROMPTS = 200;
 const MS_PER_SECOND = 1_000;
 
 /** Where another instance receives load reports. */
@@ -25,6 +28,8 @@
   port: number;
   loads: LoadTable;
   clock: Clock;
+  /** A peer sent a prompt with these shared parts to a server. */
+  onPrompt(prompt: ReportedPrompt): void;
   log: GatewayLog;
 }
 
@@ -36,6 +41,7 @@
   private readonly timer: NodeJS.Timeout;
   private peers: readonly PeerAddress[] = [];
   private sequence = 0;
+  private prompts: ReportedPrompt[] = [];
   private lastContent = '[]';
   private lastSentAtMs = -Infinity;
 
@@ -63,6 +69,11 @@
     this.peers = others;
   }
 
+  /** Tells the peers of a prompt with the next report. */
+  addPrompt(prompt: ReportedPrompt): void {
+    if (this.prompts.length < MOST_PROMPTS) this.prompts.push(prompt);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.timer);
     await new Promise<void>((resolve) => {
@@ -79,7 +90,7 @@
     if (nowMs - this.lastSentAtMs < intervalMs * 0.9) return;
     const loads = listReportedLoads(this.options.loads.listOwnLoads(nowMs));
     const content = JSON.stringify(loads);
-    const isRepeat = content === this.lastContent;
+    const isRepeat = content === this.lastContent && this.prompts.length === 0;
     if (isRepeat && (loads.length === 0 || nowMs - this.lastSentAtMs < REPEAT_INTERVAL_MS)) return;
     this.lastContent = content;
     this.lastSentAtMs = nowMs;
@@ -89,7 +100,9 @@
       incarnation: this.incarnation,
       sequence: this.sequence,
       loads,
+      prompts: this.prompts,
     });
+    this.prompts = [];
     for (const peer of this.peers) {
       this.socket.send(bytes, peer.port, peer.address, (error) => {
         if (error) this.options.log.debug('load report not sent', { peer: peer.instanceId, error });
@@ -116,6 +129,7 @@
     const loads = new Map<string, ServerLoad>(
       report.loads.map(({ serverId, ...load }) => [serverId, load]),
     );
+    for (const prompt of report.prompts) this.options.onPrompt(prompt);
     this.options.loads.mergePeerReport(report.instanceId, loads, this.options.clock());
   }
 }
--- a/packages/gateway/src/server-chooser.ts
+++ b/packages/gateway/src/server-chooser.ts
@@ -2,6 +2,7 @@
   choosePlacement,
   chooseServiceServer,
   DEFAULT_ENGINE_PROFILE,
+  HomeBorder,
   isLongPrompt,
   isPauseSensitive,
 } from '@pollendrum/policy';
@@ -62,6 +63,8 @@
 
 /** Chooses backend servers by what is known of load, caches, speed and failures. */
 export class ServerChooser {
+  private readonly borders = new Map<string, HomeBorder>();
+
   constructor(private readonly options: ServerChooserOptions) {}
 
   /** Chooses a server, or undefined when none is listed that is not excluded. */
@@ -98,6 +101,7 @@
     const { loads, prefixes, failures, speeds } = this.options;
     const { head, route } = request;
     const options: PlacementOptions = {
+      border: this.#getBorder(request.serviceName),
       profile: makeProfile(request.service),
       firstEventOverheadMs: speeds.getFirstEventOverheadMs(),
       tightestPauseMs: request.tightestPauseMs ?? DEFAULT_PAUSE_MS,
@@ -139,6 +143,12 @@
     };
   }
 
+  #getBorder(serviceName: string): HomeBorder {
+    const border = this.borders.get(serviceName) ?? new HomeBorder();
+    this.borders.set(serviceName, border);
+    return border;
+  }
+
   #chooseForService(servers: readonly ListedServer[], nowMs: number): ServerChoice | undefined {
     const { loads, failures, speeds, failureDomain } = this.options;
     const candidates = servers.map((server) => ({
--- a/packages/policy/src/placement/index.ts
+++ b/packages/policy/src/placement/index.ts
@@ -1,5 +1,6 @@
 export * from './engine-profile';
 export * from './failure-tracker';
+export * from './home-border';
 export * from './load-table';
 export * from './prefix-view';
 export * from './service-placement';
--- a/packages/policy/src/placement/prefix-view.ts
+++ b/packages/policy/src/placement/prefix-view.ts
@@ -6,8 +6,8 @@
 
 /** How long a part is taken as still cached after its last use there, in milliseconds. */
 const CACHED_FOR_MS = 30_000;
-/** Share of an engine's memory that cached prompts are assumed to get; running requests take the rest. */
-const CACHE_SHARE = 0.7;
+/** Memory that cached prompts keep however much running requests hold, as a share of all. */
+const LEAST_CACHE_SHARE = 0.2;
 
 interface CachedPart {
   tokens: number;
@@ -18,15 +18,21 @@
 export class PrefixView {
   private readonly servers = new Map<string, Map<string, CachedPart>>();
 
-  /** Records that a prompt was read at an engine with room for `kvTokens` tokens. */
-  record(serverId: string, parts: readonly PromptPart[], kvTokens: number, nowMs: number): void {
+  /** Records that a prompt was sent to an engine with room for `kvTokens`, of which running requests hold a part. */
+  record(
+    serverId: string,
+    parts: readonly PromptPart[],
+    memory: { kvTokens: number; heldTokens: number },
+    nowMs: number,
+  ): void {
     const cached = this.servers.get(serverId) ?? new Map<string, CachedPart>();
     this.servers.set(serverId, cached);
     for (const part of parts) {
       cached.delete(part.id);
       cached.set(part.id, { tokens: part.tokens, lastUsedAtMs: nowMs });
     }
-    evictOldest(cached, kvTokens * CACHE_SHARE, nowMs);
+    const freeTokens = memory.kvTokens - memory.heldTokens;
+    evictOldest(cached, Math.max(freeTokens, memory.kvTokens * LEAST_CACHE_SHARE), nowMs);
   }
 
   /** Tokens at the start of the prompt that the engine probably does not read again. */
--- a/packages/policy/src/placement/stream-placement.ts
+++ b/packages/policy/src/placement/stream-placement.ts
@@ -1,6 +1,7 @@
 import { computeScore, hashToUint32 } from '../rendezvous';
 import { estimateLongestPauseMs, estimatePrefillMs, estimateStepMs } from './engine-profile';
 import type { EngineProfile } from './engine-profile';
+import type { HomeBorder } from './home-border';
 import type { ServerLoad } from './load-table';
 import type { PromptPart } from './prefix-view';
 
@@ -40,6 +41,8 @@
 }
 
 export interface PlacementOptions {
+  /** Splits the servers between short and long prompts. */
+  border: HomeBorder;
   profile: EngineProfile;
   /** What a first event takes beside its prefill and its decoding, in milliseconds. */
   firstEventOverheadMs: number;
@@ -77,14 +80,6 @@
 /** Decoding gets at least this share of an engine's time in predictions. */
 const LEAST_DECODE_SHARE = 0.08;
 
-/** Time of prefills that a home server takes well, as a share of its time. */
-const SHORT_HOME_LOAD = 0.35;
-const LONG_HOME_LOAD = 0.6;
-/** Servers that each kind is allotted beyond its load, so that a quiet kind keeps some. */
-const IDLE_HOME_SERVERS = 0.3;
-const LEAST_SHORT_SHARE = 0.25;
-const MOST_SHORT_SHARE = 0.7;
-
 /**
  * Chooses the server where a stream does least harm: to itself by waiting, and to the streams that run there
  * by the pauses that its prefill causes. Undefined when there is no candidate.
@@ -101,10 +96,7 @@
   let bestCost = Infinity;
   for (const candidate of candidates) {
     const isAffine = candidate.serverId === affinityId;
-    const cachedTokens = isAffine
-      ? Math.max(candidate.cachedTokens, countSharedTokens(request))
-      : candidate.cachedTokens;
-    const placement = predictPlacement(request, { ...candidate, cachedTokens }, options);
+    const placement = predictPlacement(request, candidate, options);
     const cost =
       computeOwnCost(request, placement) +
       computeHarm(request, candidate, placement.prefillMs, options) +
@@ -219,32 +211,17 @@
   return OCCUPANCY_WEIGHT * occupancy + MEMORY_WEIGHT * memory + BUSY_WEIGHT * busy;
 }
 
-/** Splits the servers between short and long prompts in proportion to the prefill time that each kind takes. */
 function selectHomes(
   request: StreamRequest,
   candidates: readonly StreamCandidate[],
   options: PlacementOptions,
 ): ReadonlySet<string> {
   const ordered = candidates.map((candidate) => candidate.serverId).sort(compareByHash);
-  const shortCount = Math.max(1, Math.round(ordered.length * computeShortShare(candidates)));
+  const shortCount = options.border.resolveShortCount(candidates.map(({ load }) => load));
   const isLong = isLongPrompt(request, options);
   return new Set(isLong ? ordered.slice(shortCount) : ordered.slice(0, shortCount));
 }
 
-/** Share of the servers that are home to short prompts. */
-function computeShortShare(candidates: readonly StreamCandidate[]): number {
-  let shortLoad = 0;
-  let longLoad = 0;
-  for (const { load } of candidates) {
-    shortLoad += load.shortShare;
-    longLoad += load.longShare;
-  }
-  const shortServers = shortLoad / SHORT_HOME_LOAD + IDLE_HOME_SERVERS;
-  const longServers = longLoad / LONG_HOME_LOAD + IDLE_HOME_SERVERS;
-  const share = shortServers / (shortServers + longServers);
-  return Math.min(MOST_SHORT_SHARE, Math.max(LEAST_SHORT_SHARE, share));
-}
-
 /** Whether reading the prompt alone is a noticeable pause to the streams beside it. */
 export function isLongPrompt(
   request: Pick<StreamRequest, 'promptTokens'>,
@@ -276,12 +253,10 @@
   return hashToUint32(a) - hashToUint32(b) || (a < b ? -1 : 1);
 }
 
-/** The last part belongs to the request alone, the others may be cached. */
-function countSharedTokens(request: StreamRequest): number {
-  return request.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-}
-
-/** The server where all instances send requests that share their last common part, while it is not too busy. */
+/**
+ * The server where all instances send requests that share their last common part, while it is not too busy. The
+ * last part of a prompt belongs to the request alone.
+ */
 function chooseAffinityServer(
   request: StreamRequest,
   homes: ReadonlySet<string>,
