--- a/packages/policy/src/placement/stream-placement.ts
+++ b/packages/policy/src/placement/stream-placement.ts
@@ -61,6 +61,9 @@
 /** Cost of prefill time while the servers are idle and, on top, while they are busy all the time. */
 const IDLE_WORK_WEIGHT = 0.3;
 const BUSY_WORK_WEIGHT = 3;
+/** Cost of reading tokens again that another server has cached, for each `REREAD_SCALE_TOKENS`. */
+const REREAD_WEIGHT = 0.12;
+const REREAD_SCALE_TOKENS = 1_000;
 /** Prefill time that these weights are for, in milliseconds. */
 const WORK_SCALE_MS = 500;
 /** Spreads streams over servers that are otherwise alike. */
@@ -92,6 +95,7 @@
   const homes = selectHomes(request, candidates, options);
   const affinityId = chooseAffinityServer(request, homes);
   const workCostPerMs = computeWorkCost(candidates);
+  const mostCachedTokens = Math.max(0, ...candidates.map(({ cachedTokens }) => cachedTokens));
   let best: StreamPlacement | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
@@ -103,6 +107,7 @@
       EXPOSURE_WEIGHT * computeExposure(request, candidate.load, options) +
       computeCongestion(request, candidate.load, options.profile) +
       workCostPerMs * placement.prefillMs +
+      REREAD_WEIGHT * ((mostCachedTokens - candidate.cachedTokens) / REREAD_SCALE_TOKENS) +
       FAILURE_WEIGHT * candidate.failureShare +
       (candidate.isAvoided ? AVOIDED_WEIGHT : 0) +
       (homes.has(candidate.serverId) ? 0 : HOME_WEIGHT) -
