--- /dev/null
+++ b/packages/policy/test/placement/placement-fixture.ts
@@ -0,0 +1,60 @@
+import { DEFAULT_ENGINE_PROFILE, HomeBorder, NO_LOAD } from '../../src';
+import type { PlacementOptions, ServerLoad, StreamCandidate, StreamRequest } from '../../src';
+
+/** A stream of a chat: a short prompt and a tight pause target. */
+export const CHAT: StreamRequest = {
+  promptTokens: 800,
+  parts: [
+    { id: 'system', tokens: 120 },
+    { id: 'chat-subject', tokens: 80 },
+    { id: 'chat-own', tokens: 600 },
+  ],
+  outputTokens: 290,
+  targetMs: 600,
+  pauseTargetMs: 200,
+  remainingMs: 15_000,
+};
+
+/** A stream of a plan: a long prompt, most of it shared with others of its subject. */
+export const PLAN: StreamRequest = {
+  promptTokens: 12_000,
+  parts: [
+    { id: 'system', tokens: 500 },
+    { id: 'plan-subject', tokens: 4_900 },
+    { id: 'plan-own', tokens: 6_600 },
+  ],
+  outputTokens: 380,
+  targetMs: 2_500,
+  pauseTargetMs: 800,
+  remainingMs: 15_000,
+};
+
+export function makeOptions(overrides: Partial<PlacementOptions> = {}): PlacementOptions {
+  return {
+    border: new HomeBorder(),
+    profile: DEFAULT_ENGINE_PROFILE,
+    firstEventOverheadMs: 0,
+    tightestPauseMs: 200,
+    ...overrides,
+  };
+}
+
+export function makeLoad(overrides: Partial<ServerLoad> = {}): ServerLoad {
+  return { ...NO_LOAD, ...overrides };
+}
+
+export function makeCandidate(
+  serverId: string,
+  load: Partial<ServerLoad> = {},
+  overrides: Partial<StreamCandidate> = {},
+): StreamCandidate {
+  return {
+    serverId,
+    load: makeLoad(load),
+    cachedTokens: 0,
+    slowness: 1,
+    failureShare: 0,
+    isAvoided: false,
+    ...overrides,
+  };
+}
--- /dev/null
+++ b/packages/policy/test/placement/placement-state.test.ts
@@ -0,0 +1,185 @@
+import { expect, test } from 'vitest';
+import {
+  FailureTracker,
+  HomeBorder,
+  LoadTable,
+  PrefixView,
+  ShareMeter,
+  SpeedTracker,
+} from '../../src';
+import type { PlacedRequest, ServerObservation } from '../../src';
+import { makeLoad } from './placement-fixture';
+
+function makePlaced(overrides: Partial<PlacedRequest> = {}): PlacedRequest {
+  return {
+    serverId: 'a',
+    prefillMs: 100,
+    heldTokens: 1_000,
+    isPauseSensitive: true,
+    isLong: false,
+    expectedFirstByteAtMs: 150,
+    isStreaming: false,
+    ...overrides,
+  };
+}
+
+test('a request moves from the queue to the streams and then leaves', () => {
+  const table = new LoadTable();
+  const request = makePlaced();
+  table.add(request, 0);
+  expect(table.getLoad('a', 0)).toMatchObject({ queuedPrefillMs: 100, waiting: 1, streaming: 0 });
+  table.markStreaming(request);
+  expect(table.getLoad('a', 0)).toMatchObject({ waiting: 0, streaming: 1, pauseSensitive: 1 });
+  table.remove(request);
+  expect(table.getLoad('a', 0)).toMatchObject({ waiting: 0, streaming: 0, heldTokens: 0 });
+});
+
+test('a waiting request that is past its expected first byte counts as overdue', () => {
+  const table = new LoadTable();
+  table.add(makePlaced(), 0);
+  expect(table.getLoad('a', 1_150).overdueMs).toBe(1_000);
+});
+
+test('the load of peers is added, and forgotten when they fall silent', () => {
+  const table = new LoadTable();
+  table.mergePeerReport(
+    'peer',
+    new Map([['a', makeLoad({ waiting: 2, queuedPrefillMs: 300 })]]),
+    0,
+  );
+  table.add(makePlaced(), 0);
+  expect(table.getLoad('a', 100)).toMatchObject({ waiting: 3, queuedPrefillMs: 400 });
+  // Guards against load that a killed instance leaves behind for good.
+  expect(table.getLoad('a', 5_000).waiting).toBe(1);
+});
+
+test("a peer's report replaces its previous one", () => {
+  const table = new LoadTable();
+  table.mergePeerReport('peer', new Map([['a', makeLoad({ waiting: 2 })]]), 0);
+  table.mergePeerReport('peer', new Map([['a', makeLoad({ waiting: 1 })]]), 50);
+  expect(table.getLoad('a', 60).waiting).toBe(1);
+});
+
+test('a share follows the work and fades without it', () => {
+  const meter = new ShareMeter();
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 100) meter.add(50, nowMs);
+  expect(meter.getShare(10_000)).toBeCloseTo(0.5, 1);
+  expect(meter.getShare(20_000)).toBeLessThan(0.01);
+});
+
+test('parts count as cached only up to the first one that is missing', () => {
+  const view = new PrefixView();
+  const memory = { kvTokens: 100_000, heldTokens: 0 };
+  view.record('a', [{ id: 'x', tokens: 500 }], memory, 0);
+  const parts = [
+    { id: 'x', tokens: 500 },
+    { id: 'y', tokens: 4_000 },
+  ];
+  expect(view.countCachedTokens('a', parts, 10)).toBe(500);
+  expect(view.countCachedTokens('a', [...parts].reverse(), 10)).toBe(0);
+  expect(view.countCachedTokens('b', parts, 10)).toBe(0);
+});
+
+test('the parts used least recently are evicted, sooner when running requests hold memory', () => {
+  const view = new PrefixView();
+  const memory = { kvTokens: 10_000, heldTokens: 6_000 };
+  for (const id of ['x', 'y']) view.record('a', [{ id, tokens: 3_000 }], memory, 0);
+  expect(view.countCachedTokens('a', [{ id: 'x', tokens: 3_000 }], 10)).toBe(0);
+  expect(view.countCachedTokens('a', [{ id: 'y', tokens: 3_000 }], 10)).toBe(3_000);
+});
+
+test('a part that was not used for long counts as evicted', () => {
+  const view = new PrefixView();
+  view.record('a', [{ id: 'x', tokens: 500 }], { kvTokens: 100_000, heldTokens: 0 }, 0);
+  expect(view.countCachedTokens('a', [{ id: 'x', tokens: 500 }], 60_000)).toBe(0);
+});
+
+interface FailureCase {
+  observations: ServerObservation[];
+  afterMs: number;
+  avoided: boolean;
+}
+
+const failureCases: FailureCase[] = [
+  { observations: ['success'], afterMs: 1, avoided: false },
+  { observations: ['unreachable'], afterMs: 500, avoided: true },
+  { observations: ['unreachable'], afterMs: 1_500, avoided: false },
+  { observations: ['unreachable', 'unreachable'], afterMs: 1_500, avoided: true },
+  { observations: ['unreachable', 'success'], afterMs: 1, avoided: false },
+  { observations: ['full'], afterMs: 100, avoided: true },
+  { observations: ['full'], afterMs: 300, avoided: false },
+  { observations: ['error', 'error'], afterMs: 1, avoided: false },
+];
+
+test.each(failureCases)('after $observations and $afterMs ms avoided is $avoided', (failure) => {
+  const tracker = new FailureTracker();
+  for (const observation of failure.observations) tracker.observe('a', observation, 0);
+  expect(tracker.isAvoided('a', failure.afterMs)).toBe(failure.avoided);
+});
+
+test('the share of failures rises with errors and fades, so that a server is tried again', () => {
+  const tracker = new FailureTracker();
+  for (let index = 0; index < 5; index += 1) tracker.observe('a', 'broken-answer', 0);
+  expect(tracker.getFailureShare('a', 0)).toBeGreaterThan(0.6);
+  expect(tracker.getFailureShare('a', 10_000)).toBeLessThan(0.05);
+});
+
+test('a server that decodes slower than the fastest counts as slower', () => {
+  const tracker = new SpeedTracker();
+  for (let index = 0; index < 400; index += 1) {
+    tracker.recordPause('fast', 21, index);
+    // Every third pause has a prompt in it, which says nothing about the server's own pace.
+    tracker.recordPause('slow', index % 3 === 0 ? 180 : 42, index);
+  }
+  const slowness = tracker.listSlowness(['fast', 'slow', 'unseen'], 400);
+  expect(slowness.get('fast')).toBeCloseTo(1, 1);
+  expect(slowness.get('slow')).toBeGreaterThan(1.7);
+  expect(slowness.get('slow')).toBeLessThan(2.6);
+  expect(slowness.get('unseen')).toBe(1);
+});
+
+test('the fixed time of a first event is not taken for a slow prefill', () => {
+  const tracker = new SpeedTracker();
+  for (let index = 0; index < 100; index += 1) {
+    const overheadMs = tracker.getFirstEventOverheadMs();
+    tracker.recordFirstEvent(12 + 21 + 36, { prefillMs: 12, firstEventMs: 33 + overheadMs });
+  }
+  expect(tracker.getFirstEventOverheadMs()).toBeCloseTo(36, 0);
+  expect(tracker.listSlowness(['a'], 0).get('a')).toBe(1);
+});
+
+test('prefills that take twice as long as the profile says are learned from long prompts', () => {
+  const tracker = new SpeedTracker();
+  for (let index = 0; index < 100; index += 1) {
+    const prefillMs = 200 * (tracker.listSlowness(['a'], 0).get('a') ?? 1);
+    tracker.recordFirstEvent(400 + 21, { prefillMs, firstEventMs: prefillMs + 21 });
+  }
+  expect(tracker.listSlowness(['a'], 0).get('a')).toBeCloseTo(2, 1);
+});
+
+test.each([
+  { name: 'only short prompts', shortShare: 0.3, longShare: 0, least: 5, most: 6 },
+  { name: 'only long prompts', shortShare: 0, longShare: 0.7, least: 2, most: 2 },
+  { name: 'both', shortShare: 0.15, longShare: 0.25, least: 3, most: 5 },
+  { name: 'nothing', shortShare: 0, longShare: 0, least: 4, most: 4 },
+])(
+  'with $name the border is at $least to $most of 8 servers',
+  ({ shortShare, longShare, least, most }) => {
+    const loads = Array.from({ length: 8 }, () => ({ shortShare, longShare }));
+    const count = new HomeBorder().resolveShortCount(loads);
+    expect(count).toBeGreaterThanOrEqual(least);
+    expect(count).toBeLessThanOrEqual(most);
+  },
+);
+
+test('the border does not flap with small changes of the load', () => {
+  const border = new HomeBorder();
+  const counts = new Set<number>();
+  for (let index = 0; index < 20; index += 1) {
+    const longShare = 0.25 + (index % 2) * 0.02;
+    counts.add(
+      border.resolveShortCount(Array.from({ length: 8 }, () => ({ shortShare: 0.15, longShare }))),
+    );
+  }
+  expect(counts.size).toBe(1);
+});
