--- /dev/null
+++ b/packages/gateway/test/gateway-fixture.ts
@@ -0,0 +1,256 @@
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { request } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Gateway } from '../src';
+import type { GatewayLog, HeaderNames, ListedServer, Route, RouteBundle } from '../src';
+import { FakeStore } from './fake-store';
+
+export const HEADER_NAMES: HeaderNames = {
+  attemptId: 'Test-Attempt',
+  remainingMs: 'Test-Remaining',
+  lastEventId: 'Last-Event-Id',
+  signature: 'Test-Signature',
+  team: 'Test-Team',
+  expectedServer: 'Test-Expected',
+  notRun: 'Test-Not-Run',
+  tokenUsage: 'Test-Tokens',
+  lengthHint: 'Test-Length',
+  promptParts: 'Test-Parts',
+  enginePriority: 'Test-Priority',
+  reserved: ['Test-Reserved'],
+};
+
+const LIMITS = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 1_000,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+export function makeRoute(overrides: Partial<Route> = {}): Route {
+  return {
+    name: 'orders',
+    host: 'shop.test',
+    pathPrefix: '/orders/',
+    kind: 'non-idempotent',
+    isResumable: false,
+    timeoutMs: 2_000,
+    targetLatencyMs: 100,
+    pauseTargetMs: undefined,
+    priority: 0,
+    services: [{ service: 'desk', weight: 1 }],
+    maxAttempts: 1,
+    isPublic: false,
+    ...overrides,
+  };
+}
+
+/** Routes of each kind of request. */
+export function makeBundle(overrides: Partial<RouteBundle> = {}): RouteBundle {
+  return {
+    version: 1,
+    routes: [
+      makeRoute(),
+      makeRoute({ name: 'stock', pathPrefix: '/stock/', kind: 'idempotent', maxAttempts: 2 }),
+      makeRoute({
+        name: 'chat',
+        pathPrefix: '/chat/',
+        kind: 'stream',
+        pauseTargetMs: 200,
+        services: [{ service: 'engines', weight: 1 }],
+      }),
+      makeRoute({
+        name: 'plan',
+        pathPrefix: '/plan/',
+        kind: 'stream',
+        isResumable: true,
+        pauseTargetMs: 300,
+        maxAttempts: 2,
+        priority: 1,
+        services: [{ service: 'engines', weight: 1 }],
+      }),
+    ],
+    services: [
+      { name: 'desk', maxConnections: 100, engine: undefined },
+      {
+        name: 'engines',
+        maxConnections: 100,
+        engine: { slots: 16, kvTokens: 100_000, tokensPerEvent: 5 },
+      },
+    ],
+    teams: [{ name: 'team-a', keys: ['key-a', 'key-b'], priority: undefined }],
+    limits: LIMITS,
+    ...overrides,
+  };
+}
+
+export function makeServer(serverId: string, service: string, port: number): ListedServer {
+  return {
+    serverId,
+    service,
+    host: '127.0.0.1',
+    port,
+    failureDomain: 'local',
+    slots: 16,
+    state: 'ready',
+    startedAtUnixMs: 1,
+  };
+}
+
+export interface LogLine {
+  level: string;
+  message: string;
+  fields: Record<string, unknown>;
+}
+
+export interface TestGateway extends AsyncDisposable {
+  gateway: Gateway;
+  store: FakeStore;
+  lines: LogLine[];
+  callerPort: number;
+  readinessPort: number;
+}
+
+export interface TestGatewayOptions {
+  bundle?: RouteBundle;
+  servers?: readonly ListedServer[];
+  keyRevocationMs?: number;
+  drainLimitSeconds?: number;
+}
+
+/** Starts a gateway on the loopback interface with a store in memory. */
+export async function startTestGateway(options: TestGatewayOptions = {}): Promise<TestGateway> {
+  const store = new FakeStore();
+  store.put('bundles', 'main', options.bundle ?? makeBundle());
+  for (const server of options.servers ?? []) store.put('servers', server.serverId, server);
+  const [callerPort, readinessPort, peerPort] = await Promise.all([
+    findFreePort(),
+    findFreePort(),
+    findFreePort(),
+  ]);
+  const lines: LogLine[] = [];
+  const gateway = new Gateway({
+    settings: {
+      instanceId: 'entry-1',
+      failureDomain: 'local',
+      address: '127.0.0.1',
+      callerAddress: `127.0.0.1:${callerPort}`,
+      readinessAddress: `127.0.0.1:${readinessPort}`,
+      peerPort,
+      storeAddress: '127.0.0.1:1',
+      drainLimitSeconds: options.drainLimitSeconds ?? 5,
+      isKeyRevocationStrict: true,
+      keyRevocationMs: options.keyRevocationMs ?? 5_000,
+      retryRatio: 0.2,
+      retryWindowSeconds: 10,
+      retrySlack: 50,
+    },
+    store,
+    headerNames: HEADER_NAMES,
+    decoders: {
+      bundleKind: 'bundles',
+      bundleName: 'main',
+      decodeBundle: (spec) => ({ ok: true, value: spec as RouteBundle }),
+      serverKind: 'servers',
+      decodeServer: (_, spec) => ({ ok: true, value: spec as ListedServer }),
+    },
+    log: createTestLog(lines),
+  });
+  await gateway.start();
+  for (let tries = 0; tries < 100 && !gateway.isReady(); tries += 1) await sleep(10);
+  return {
+    gateway,
+    store,
+    lines,
+    callerPort,
+    readinessPort,
+    [Symbol.asyncDispose]: () => gateway[Symbol.asyncDispose](),
+  };
+}
+
+export function createTestLog(lines: LogLine[]): GatewayLog {
+  const createWriter =
+    (level: string): GatewayLog['info'] =>
+    (message, fields) => {
+      lines.push({ level, message, fields: fields ?? {} });
+    };
+  return {
+    error: createWriter('error'),
+    warn: createWriter('warn'),
+    info: createWriter('info'),
+    debug: createWriter('debug'),
+  };
+}
+
+export interface CallerAnswer {
+  /** Undefined when the connection closed without an answer. */
+  status: number | undefined;
+  headers: IncomingHttpHeaders;
+  body: string;
+  /** False when the answer broke off. */
+  isWhole: boolean;
+}
+
+export interface CallOptions {
+  method?: string;
+  key?: string;
+  headers?: Record<string, string>;
+  body?: string;
+  /** Leaves after this time, in milliseconds. */
+  leaveAfterMs?: number;
+}
+
+/** Sends one request as a caller and reads what comes back. */
+export function sendCall(
+  port: number,
+  path: string,
+  options: CallOptions = {},
+): Promise<CallerAnswer> {
+  return new Promise((resolve) => {
+    let body = '';
+    const settle = (answer: Partial<CallerAnswer>) => {
+      resolve({ status: undefined, headers: {}, body, isWhole: false, ...answer });
+    };
+    const sent = request(
+      {
+        host: '127.0.0.1',
+        port,
+        path,
+        method: options.method ?? 'POST',
+        agent: false,
+        headers: {
+          host: 'shop.test',
+          authorization: `Bearer ${options.key ?? 'key-a'}`,
+          'Test-Attempt': 'attempt-1',
+          'Test-Remaining': '2000',
+          ...options.headers,
+        },
+      },
+      (response) => {
+        const { statusCode: status, headers } = response;
+        response.on('data', (chunk: Buffer) => (body += chunk.toString()));
+        response.on('error', () => {
+          settle({ status, headers });
+        });
+        response.on('end', () => {
+          settle({ status, headers, isWhole: response.complete });
+        });
+      },
+    );
+    sent.on('error', () => {
+      settle({});
+    });
+    if (options.leaveAfterMs !== undefined) setTimeout(() => sent.destroy(), options.leaveAfterMs);
+    sent.end(options.body);
+  });
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return port;
+}
--- /dev/null
+++ b/packages/gateway/test/streams.test.ts
@@ -0,0 +1,194 @@
+import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect, test } from 'vitest';
+import { makeServer, sendCall, startTestGateway } from './gateway-fixture';
+import { startRawBackend } from './raw-backend';
+import type { RawHandler } from './raw-backend';
+
+const HEAD =
+  'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n' +
+  'test-attempt: attempt-1\r\n';
+const EVENT_COUNT = 6;
+
+function writeChunk(socket: Socket, text: string): void {
+  socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+}
+
+function makeEvent(id: number): string {
+  return `id: ${id}\ndata: word-${id}\n\n`;
+}
+
+const WHOLE = Array.from({ length: EVENT_COUNT }, (_, index) => makeEvent(index + 1)).join('');
+
+function readLastEventId(request: string): number {
+  return Number(/last-event-id: (\d+)/i.exec(request)?.[1] ?? 0);
+}
+
+/** Streams the events after the one that the request names. */
+const streamAll: RawHandler = (socket, request) => {
+  socket.write(`${HEAD}test-signature: second\r\n\r\n`);
+  for (let id = readLastEventId(request) + 1; id <= EVENT_COUNT; id += 1) {
+    writeChunk(socket, makeEvent(id));
+  }
+  socket.write('0\r\n\r\n');
+};
+
+/** Streams three events and a part of the fourth, then does what the test says. */
+function createBreakingHandler(breakOff: (socket: Socket) => void): RawHandler {
+  return (socket) => {
+    socket.write(`${HEAD}test-signature: first\r\n\r\n`);
+    for (let id = 1; id <= 3; id += 1) writeChunk(socket, makeEvent(id));
+    writeChunk(socket, 'id: 4\ndata: wo');
+    void sleep(20).then(() => {
+      breakOff(socket);
+    });
+  };
+}
+
+interface StreamCase {
+  name: string;
+  path: string;
+  first: RawHandler;
+  status: number | undefined;
+  body: string;
+  isWhole: boolean;
+  sends: number;
+}
+
+const brokenBody = [1, 2, 3].map(makeEvent).join('');
+
+const cases: StreamCase[] = [
+  {
+    name: 'a stream is passed on whole',
+    path: '/chat/1',
+    first: streamAll,
+    status: 200,
+    body: WHOLE,
+    isWhole: true,
+    sends: 1,
+  },
+  {
+    // Guards against pieces that are missing, come twice or are joined from halves of two runs.
+    name: 'a resumable stream that is reset inside an event goes on at another server',
+    path: '/plan/1',
+    first: createBreakingHandler((socket) => socket.resetAndDestroy()),
+    status: 200,
+    body: WHOLE,
+    isWhole: true,
+    sends: 2,
+  },
+  {
+    name: 'a resumable stream that falls silent goes on at another server',
+    path: '/plan/1',
+    first: createBreakingHandler(() => undefined),
+    status: 200,
+    body: WHOLE,
+    isWhole: true,
+    sends: 2,
+  },
+  {
+    name: 'a resumable stream that ends inside an event goes on at another server',
+    path: '/plan/1',
+    first: createBreakingHandler((socket) => socket.end('0\r\n\r\n')),
+    status: 200,
+    body: WHOLE,
+    isWhole: true,
+    sends: 2,
+  },
+  {
+    // Guards against a second run of a stream that must not be repeated, and against one that looks complete.
+    name: 'a stream that must not be repeated breaks off',
+    path: '/chat/1',
+    first: createBreakingHandler((socket) => socket.resetAndDestroy()),
+    status: 200,
+    body: brokenBody,
+    isWhole: false,
+    sends: 1,
+  },
+  {
+    name: 'a stream that the server refused to run goes to another server',
+    path: '/chat/1',
+    first: (socket) =>
+      socket.write('HTTP/1.1 503 Full\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
+    status: 200,
+    body: WHOLE,
+    isWhole: true,
+    sends: 2,
+  },
+  {
+    name: 'a stream that must not be repeated and breaks before its head gets 502',
+    path: '/chat/1',
+    first: (socket) => socket.resetAndDestroy(),
+    status: 502,
+    body: '{"error":',
+    isWhole: true,
+    sends: 1,
+  },
+];
+
+test.each(cases)('$name', async ({ path, first, status, body, isWhole, sends }) => {
+  let received = 0;
+  const handle: RawHandler = (socket, request) => {
+    received += 1;
+    if (received === 1) first(socket, request);
+    else streamAll(socket, request);
+  };
+  await using one = await startRawBackend(handle);
+  await using two = await startRawBackend(handle);
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'engines', one.port), makeServer('two', 'engines', two.port)],
+  });
+  const answer = await sendCall(running.callerPort, path, {
+    headers: { 'Test-Tokens': '100,50', 'Test-Parts': 'aa:60,bb:40' },
+  });
+  expect(answer).toMatchObject({ status, isWhole });
+  expect(answer.body.startsWith(body)).toBe(true);
+  expect(received).toBe(sends);
+});
+
+test('a continued stream keeps the signature of its first server', async () => {
+  let received = 0;
+  await using backend = await startRawBackend((socket, request) => {
+    received += 1;
+    if (received > 1) streamAll(socket, request);
+    else createBreakingHandler((broken) => broken.resetAndDestroy())(socket, request);
+  });
+  await using running = await startTestGateway({
+    servers: [
+      makeServer('one', 'engines', backend.port),
+      makeServer('two', 'engines', backend.port),
+    ],
+  });
+  const answer = await sendCall(running.callerPort, '/plan/1');
+  expect(answer.headers['test-signature']).toBe('first');
+  expect(answer.body).toBe(WHOLE);
+});
+
+test('when the caller leaves, the server stops', async () => {
+  let isClosed = false;
+  await using backend = await startRawBackend((socket) => {
+    socket.on('close', () => (isClosed = true));
+    socket.write(`${HEAD}test-signature: first\r\n\r\n`);
+    writeChunk(socket, makeEvent(1));
+  });
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'engines', backend.port)],
+  });
+  await sendCall(running.callerPort, '/chat/1', { leaveAfterMs: 60 });
+  await sleep(200);
+  expect(isClosed).toBe(true);
+});
+
+test('a stream that is not complete at its time limit breaks off', async () => {
+  await using backend = await startRawBackend((socket) => {
+    socket.write(`${HEAD}test-signature: first\r\n\r\n`);
+    writeChunk(socket, makeEvent(1));
+  });
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'engines', backend.port)],
+  });
+  const answer = await sendCall(running.callerPort, '/chat/1', {
+    headers: { 'Test-Remaining': '300' },
+  });
+  expect(answer).toMatchObject({ status: 200, isWhole: false, body: makeEvent(1) });
+});
