--- /dev/null
+++ b/packages/gateway/test/instance.test.ts
@@ -0,0 +1,116 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect, test } from 'vitest';
+import { makeBundle, makeRoute, makeServer, sendCall, startTestGateway } from './gateway-fixture';
+import { startRawBackend } from './raw-backend';
+import type { RawHandler } from './raw-backend';
+
+const answerOk: RawHandler = (socket) =>
+  socket.write(
+    'HTTP/1.1 200 OK\r\ntest-signature: s\r\ntest-attempt: attempt-1\r\ncontent-length: 2\r\n\r\nok',
+  );
+/** Time in which a change in the fake store reaches the gateway, in milliseconds. */
+const SPREAD_MS = 400;
+
+async function readReadiness(port: number): Promise<number | undefined> {
+  const answer = await sendCall(port, '/readyz', { method: 'GET' });
+  return answer.status;
+}
+
+test('an instance without a configuration is not ready and answers 503', async () => {
+  await using running = await startTestGateway({ bundle: undefined, servers: [] });
+  running.store.remove('bundles', 'main');
+  expect(await readReadiness(running.readinessPort)).toBe(503);
+});
+
+test('a new version is in force soon and an older one never again', async () => {
+  await using backend = await startRawBackend(answerOk);
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port)],
+  });
+  const added = makeRoute({ name: 'new', pathPrefix: '/new/' });
+  running.store.put('bundles', 'main', makeBundle({ version: 7, routes: [added] }));
+  await sleep(SPREAD_MS);
+  expect((await sendCall(running.callerPort, '/new/1')).status).toBe(200);
+  expect((await sendCall(running.callerPort, '/orders/1')).status).toBe(404);
+  running.store.put('bundles', 'main', makeBundle({ version: 3 }));
+  await sleep(SPREAD_MS);
+  expect((await sendCall(running.callerPort, '/new/1')).status).toBe(200);
+});
+
+test('a key that was taken away is refused on an open connection too', async () => {
+  await using backend = await startRawBackend(answerOk);
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port)],
+  });
+  expect((await sendCall(running.callerPort, '/orders/1', { key: 'key-b' })).status).toBe(200);
+  const teams = [{ name: 'team-a', keys: ['key-a'], priority: undefined }];
+  running.store.put('bundles', 'main', makeBundle({ version: 2, teams }));
+  await sleep(SPREAD_MS);
+  expect((await sendCall(running.callerPort, '/orders/1', { key: 'key-b' })).status).toBe(401);
+});
+
+test('without contact to the store keys are refused in time, routes without keys are served', async () => {
+  await using backend = await startRawBackend(answerOk);
+  const open = makeRoute({ name: 'open', pathPrefix: '/open/', isPublic: true });
+  await using running = await startTestGateway({
+    bundle: makeBundle({ routes: [makeRoute(), open] }),
+    servers: [makeServer('one', 'desk', backend.port)],
+    keyRevocationMs: 2_000,
+  });
+  running.store.mode = 'failing';
+  await sleep(1_000);
+  const keyed = await sendCall(running.callerPort, '/orders/1');
+  expect(keyed.status).toBe(503);
+  // The caller's next connection can reach an instance that hears the store.
+  expect(keyed.headers.connection).toBe('close');
+  expect((await sendCall(running.callerPort, '/open/1')).status).toBe(200);
+  expect((await sendCall(running.callerPort, '/nowhere/1')).status).toBe(503);
+  expect(await readReadiness(running.readinessPort)).toBe(503);
+  running.store.mode = 'up';
+  await sleep(1_000);
+  expect((await sendCall(running.callerPort, '/orders/1')).status).toBe(200);
+});
+
+test('a server that drains gets no new request', async () => {
+  await using leaving = await startRawBackend(answerOk);
+  await using staying = await startRawBackend(answerOk);
+  const listed = makeServer('leaving', 'desk', leaving.port);
+  await using running = await startTestGateway({
+    servers: [listed, makeServer('staying', 'desk', staying.port)],
+  });
+  running.store.put('servers', 'leaving', { ...listed, state: 'draining' });
+  await sleep(SPREAD_MS);
+  for (let id = 0; id < 6; id += 1) await sendCall(running.callerPort, `/orders/${id}`);
+  expect(leaving.countConnections()).toBe(0);
+});
+
+test('a stopping instance is not ready, tells callers to reconnect and finishes what it has', async () => {
+  await using backend = await startRawBackend((socket, request) => {
+    void sleep(600).then(() => {
+      answerOk(socket, request);
+    });
+  });
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port)],
+    drainLimitSeconds: 2,
+  });
+  const pending = sendCall(running.callerPort, '/orders/1');
+  await sleep(50);
+  const drained = running.gateway.drain();
+  expect(await readReadiness(running.readinessPort)).toBe(503);
+  const late = sendCall(running.callerPort, '/orders/2');
+  const answers = await Promise.all([pending, late]);
+  expect(answers.map(({ status }) => status)).toEqual([200, 200]);
+  expect(answers.every(({ headers }) => headers.connection === 'close')).toBe(true);
+  await drained;
+  expect((await sendCall(running.callerPort, '/orders/3')).status).toBeUndefined();
+});
+
+test('instances find each other in the store', async () => {
+  await using running = await startTestGateway({ servers: [] });
+  await sleep(50);
+  const { objects } = await running.store.listObjects('instances');
+  expect(objects.map(({ name }) => name)).toEqual(['entry-1']);
+  await running.gateway.drain();
+  expect((await running.store.listObjects('instances')).objects).toEqual([]);
+});
