--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -21,7 +21,7 @@
 const verbPattern = `^_?(${verbs.join('|')}|constructor)([A-Z0-9].*)?$`;
 
 export default tseslint.config(
-  { ignores: ['dist/', '**/node_modules/', '**/generated/', '**/*.mjs'] },
+  { ignores: ['dist/', 'target/', '**/node_modules/', '**/generated/', '**/*.mjs'] },
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   prettier,
@@ -48,6 +48,8 @@
         },
         { selector: 'typeLike', format: ['PascalCase'] },
       ],
+      // A resource that is only held until the end of its block is used by being disposed of.
+      '@typescript-eslint/no-unused-vars': ['error', { ignoreUsingDeclarations: true }],
       'max-lines': ['error', { max: 500, skipBlankLines: true }],
     },
   },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,14 @@
 
 /** Kind of the store under which instances announce where they receive load reports. */
 const INSTANCE_KIND = 'instances';
+/** Settings that are read anew at each use. */
+const RELOADABLE = [
+  'drainLimitSeconds',
+  'isKeyRevocationStrict',
+  'keyRevocationMs',
+  'retryRatio',
+  'retrySlack',
+] as const satisfies readonly (keyof GatewaySettings)[];
 const PEER_WAIT_MS = 15_000;
 const DEFAULT_READINESS_PATH = '/readyz';
 /** Share of the retry slack that instances use together, since their counts are not exact. */
@@ -90,10 +98,7 @@
       clock,
       metrics: createGatewayMetrics(),
       registry,
-      freshness: new KeyFreshness({
-        isStrict: settings.isKeyRevocationStrict,
-        revocationMs: settings.keyRevocationMs,
-      }),
+      freshness: new KeyFreshness(settings),
       loads,
       prefixes,
       failures,
@@ -164,6 +169,21 @@
     return this.context.freshness.isFresh(this.context.clock());
   }
 
+  /**
+   * Takes over the settings that can change while the instance runs and returns the names of those that did.
+   * Names, addresses and ports take effect at the next start.
+   */
+  reload(settings: GatewaySettings): string[] {
+    const current = this.options.settings;
+    const changed = RELOADABLE.filter((name) => settings[name] !== current[name]);
+    for (const name of changed) Object.assign(current, { [name]: settings[name] });
+    const needRestart = (Object.keys(settings) as (keyof GatewaySettings)[]).filter(
+      (name) => settings[name] !== current[name],
+    );
+    this.options.log.info('settings reloaded', { changed, needRestart });
+    return changed;
+  }
+
   /** Stops without cutting off requests, as far as the time until SIGKILL allows. */
   async drain(): Promise<void> {
     if (this.isStopping) return;
--- a/packages/gateway/src/key-freshness.ts
+++ b/packages/gateway/src/key-freshness.ts
@@ -6,12 +6,12 @@
 /** Time for a request to get from the check to its server, in milliseconds. */
 const SENDING_MARGIN_MS = 250;
 
-/** Options of `KeyFreshness`. */
+/** Options of `KeyFreshness`; they are read at each use, so that a reload takes effect. */
 export interface KeyFreshnessOptions {
   /** Whether keys must be refused when their revocation cannot be known. */
-  isStrict: boolean;
+  isKeyRevocationStrict: boolean;
   /** Time after which a revoked key must be refused, in milliseconds. */
-  revocationMs: number;
+  keyRevocationMs: number;
 }
 
 /** Knows how old the knowledge of keys is, and when it is too old to let them in. */
@@ -31,7 +31,9 @@
 
   /** Whether a key may be let in by what is known of it. */
   isFresh(nowMs: number): boolean {
-    if (!this.options.isStrict) return this.provenAtMs > -Infinity;
-    return this.getAgeMs(nowMs) < this.options.revocationMs - SILENT_WATCH_MS - SENDING_MARGIN_MS;
+    if (!this.options.isKeyRevocationStrict) return this.provenAtMs > -Infinity;
+    return (
+      this.getAgeMs(nowMs) < this.options.keyRevocationMs - SILENT_WATCH_MS - SENDING_MARGIN_MS
+    );
   }
 }
--- a/packages/gateway/test/fake-store.ts
+++ b/packages/gateway/test/fake-store.ts
@@ -20,14 +20,14 @@
 
   async listObjects(kind: string) {
     this.listCalls += 1;
-    await this.#answer();
+    await this.#waitForAnswer();
     return { objects: [...(this.objects.get(kind)?.values() ?? [])], revision: this.revision };
   }
 
   async watchObjects(kind: string, afterRevision: number, waitMs: number) {
     const untilMs = performance.now() + waitMs;
     for (;;) {
-      await this.#answer();
+      await this.#waitForAnswer();
       if (this.mode === 'history-lost') {
         this.mode = 'up';
         return { kind: 'history-lost' as const };
@@ -47,12 +47,12 @@
   }
 
   async putObject(kind: string, name: string, spec: unknown): Promise<void> {
-    await this.#answer();
+    await this.#waitForAnswer();
     this.put(kind, name, spec);
   }
 
   async removeObject(kind: string, name: string): Promise<void> {
-    await this.#answer();
+    await this.#waitForAnswer();
     this.remove(kind, name);
   }
 
@@ -82,7 +82,7 @@
     await Promise.resolve();
   }
 
-  async #answer(): Promise<void> {
+  async #waitForAnswer(): Promise<void> {
     while (this.mode === 'silent') await sleep(POLL_MS);
     if (this.mode === 'failing') throw new Error('the store is down');
   }
--- a/packages/gateway/test/gateway-fixture.ts
+++ b/packages/gateway/test/gateway-fixture.ts
@@ -3,6 +3,7 @@
 import { request } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { GatewaySettings } from '@pollendrum/protocol';
 import { Gateway } from '../src';
 import type { GatewayLog, HeaderNames, ListedServer, Route, RouteBundle } from '../src';
 import { FakeStore } from './fake-store';
@@ -107,6 +108,7 @@
 
 export interface TestGateway extends AsyncDisposable {
   gateway: Gateway;
+  settings: GatewaySettings;
   store: FakeStore;
   lines: LogLine[];
   callerPort: number;
@@ -131,22 +133,23 @@
     findFreePort(),
   ]);
   const lines: LogLine[] = [];
+  const settings: GatewaySettings = {
+    instanceId: 'entry-1',
+    failureDomain: 'local',
+    address: '127.0.0.1',
+    callerAddress: `127.0.0.1:${callerPort}`,
+    readinessAddress: `127.0.0.1:${readinessPort}`,
+    peerPort,
+    storeAddress: '127.0.0.1:1',
+    drainLimitSeconds: options.drainLimitSeconds ?? 5,
+    isKeyRevocationStrict: true,
+    keyRevocationMs: options.keyRevocationMs ?? 5_000,
+    retryRatio: 0.2,
+    retryWindowSeconds: 10,
+    retrySlack: 50,
+  };
   const gateway = new Gateway({
-    settings: {
-      instanceId: 'entry-1',
-      failureDomain: 'local',
-      address: '127.0.0.1',
-      callerAddress: `127.0.0.1:${callerPort}`,
-      readinessAddress: `127.0.0.1:${readinessPort}`,
-      peerPort,
-      storeAddress: '127.0.0.1:1',
-      drainLimitSeconds: options.drainLimitSeconds ?? 5,
-      isKeyRevocationStrict: true,
-      keyRevocationMs: options.keyRevocationMs ?? 5_000,
-      retryRatio: 0.2,
-      retryWindowSeconds: 10,
-      retrySlack: 50,
-    },
+    settings,
     store,
     headerNames: HEADER_NAMES,
     decoders: {
@@ -162,6 +165,7 @@
   for (let tries = 0; tries < 100 && !gateway.isReady(); tries += 1) await sleep(10);
   return {
     gateway,
+    settings,
     store,
     lines,
     callerPort,
--- a/packages/gateway/test/store-state.test.ts
+++ b/packages/gateway/test/store-state.test.ts
@@ -120,13 +120,13 @@
   },
   { name: 'never proven', isStrict: false, ageMs: Infinity, expected: false },
 ])('keys $name are fresh: $expected', ({ isStrict, ageMs, expected }) => {
-  const freshness = new KeyFreshness({ isStrict, revocationMs: 5_000 });
+  const freshness = new KeyFreshness({ isKeyRevocationStrict: isStrict, keyRevocationMs: 5_000 });
   if (ageMs < Infinity) freshness.recordProof(1_000);
   expect(freshness.isFresh(1_000 + ageMs)).toBe(expected);
 });
 
 test('an older proof does not replace a newer one', () => {
-  const freshness = new KeyFreshness({ isStrict: true, revocationMs: 5_000 });
+  const freshness = new KeyFreshness({ isKeyRevocationStrict: true, keyRevocationMs: 5_000 });
   freshness.recordProof(10_000);
   freshness.recordProof(5_000);
   expect(freshness.getAgeMs(11_000)).toBe(1_000);
