--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -173,7 +173,7 @@
    * Takes over the settings that can change while the instance runs and returns the names of those that did.
    * Names, addresses and ports take effect at the next start.
    */
-  reload(settings: GatewaySettings): string[] {
+  applySettings(settings: GatewaySettings): string[] {
     const current = this.options.settings;
     const changed = RELOADABLE.filter((name) => settings[name] !== current[name]);
     for (const name of changed) Object.assign(current, { [name]: settings[name] });
--- a/packages/gateway/test/instance.test.ts
+++ b/packages/gateway/test/instance.test.ts
@@ -118,7 +118,7 @@
 test('a reload takes over what can change and names what needs a restart', async () => {
   await using running = await startTestGateway({ servers: [] });
   const settings = { ...running.settings, keyRevocationMs: 9_000, peerPort: 1 };
-  expect(running.gateway.reload(settings)).toEqual(['keyRevocationMs']);
+  expect(running.gateway.applySettings(settings)).toEqual(['keyRevocationMs']);
   const line = running.lines.find(({ message }) => message === 'settings reloaded');
   expect(line?.fields).toEqual({ changed: ['keyRevocationMs'], needRestart: ['peerPort'] });
 });
