Check the size of a request's head and notice a silent store within 3 s

Cause: the limit on headers of the configuration was not checked. A watch of 2.5 s with a time limit of 0.9 s on top could hang for 3.4 s on a connection that went silent, longer than the 3 s after which promises count again.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -15,7 +15,7 @@
   headerTimeoutMs: 10_000,
   idleTimeoutMs: 15_000,
 };
-/** Node reads this much of a request head at most; the configured limit is checked on top, in bytes. */
+/** Node reads this much of a request head at most, in bytes; the configured limit is checked afterwards. */
 const HEADER_ROOM_BYTES = 65_536;
 /** When a caller may come back to an instance that cannot serve yet, in milliseconds. */
 const NOT_READY_RETRY_MS = 200;
@@ -81,6 +81,10 @@
     refuse({ status: 413, reason: 'the body is too large', closesConnection: true });
     return;
   }
+  if (measureHeaderBytes(request) > limits.maxHeaderBytes) {
+    refuse({ status: 431, reason: 'the headers are too large', closesConnection: true });
+    return;
+  }
   const table = context.getTable();
   if (table === undefined) {
     refuse({ status: 503, reason: 'no configuration yet', retryAfterMs: NOT_READY_RETRY_MS });
@@ -156,6 +160,14 @@
   }
 }
 
+/** Each header also takes a colon, a space and the end of its line. */
+const BYTES_BESIDE_HEADER = 4;
+
+function measureHeaderBytes(request: IncomingMessage): number {
+  const texts = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  return texts + (request.rawHeaders.length / 2) * BYTES_BESIDE_HEADER;
+}
+
 type BodyResult =
   { kind: 'complete'; bytes: Buffer | undefined } | { kind: 'too-large' } | { kind: 'aborted' };
 
--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -2,8 +2,11 @@
 import type { Clock, GatewayLog } from './ports';
 import type { ObjectChange, ObjectListing, ObjectStore } from './store-port';
 
-/** Longest wait of a watch, in milliseconds; an idle connection that went silent is noticed soon after. */
-const WAIT_MS = 2_500;
+/**
+ * Longest wait of a watch, in milliseconds. With the time limit of a call on top, a connection that went silent is
+ * noticed within 3 s, the shortest time after which the users hold an instance to its promises again.
+ */
+const WAIT_MS = 2_200;
 /** Wait after an answer with changes, in milliseconds, so that the next proof of contact is soon. */
 const SHORT_WAIT_MS = 300;
 /** A watch that took this much longer than its wait was held up by an outage, in milliseconds. */
@@ -19,7 +22,7 @@
   clock: Clock;
   /**
    * Longest wait of one watch in milliseconds.
-   * @default 2_500
+   * @default 2_200
    */
   waitMs?: number;
   onListing(listing: ObjectListing): void;
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -2,7 +2,7 @@
 
 /** An answer of the gateway's own. */
 export interface Refusal {
-  status: 400 | 401 | 404 | 408 | 413 | 429 | 502 | 503 | 504;
+  status: 400 | 401 | 404 | 408 | 413 | 429 | 431 | 502 | 503 | 504;
   reason: string;
   /** When the caller may come back, in milliseconds. */
   retryAfterMs?: number;
--- a/packages/gateway/test/plain-requests.test.ts
+++ b/packages/gateway/test/plain-requests.test.ts
@@ -176,6 +176,7 @@
   path: string;
   key?: string;
   body?: string;
+  headers?: Record<string, string>;
   status: number;
 }
 
@@ -184,12 +185,18 @@
   { name: 'a prefix without its last slash', path: '/orders', status: 404 },
   { name: 'an unknown key', path: '/orders/1', key: 'key-z', status: 401 },
   { name: 'a body over the limit', path: '/orders/1', body: 'x'.repeat(1_001), status: 413 },
+  {
+    name: 'a head over the limit',
+    path: '/orders/1',
+    headers: { 'x-long': 'x'.repeat(17_000) },
+    status: 431,
+  },
   { name: 'a service without a server', path: '/orders/1', status: 503 },
 ];
 
-test.each(rejections)('$name gets $status', async ({ path, key, body, status }) => {
+test.each(rejections)('$name gets $status', async ({ path, key, body, headers, status }) => {
   await using running = await startTestGateway({ servers: [makeServer('e', 'engines', 1)] });
-  const answer = await sendCall(running.callerPort, path, { key, body });
+  const answer = await sendCall(running.callerPort, path, { key, body, headers });
   expect(answer.status).toBe(status);
 });
 
