--- a/packages/policy/src/placement/stream-admission.ts
+++ b/packages/policy/src/placement/stream-admission.ts
@@ -23,6 +23,8 @@
  * on time, and the more urgent ones find room.
  */
 const LOWEST_TIER_TARGET_SHARE = 0.9;
+/** With a wait up to this share of the target a later try would not be sooner: the prompt itself takes the time. */
+const SHORT_WAIT_SHARE = 0.2;
 /** A caller with less than this share of the timeout left has been refused before; it is served late rather than never. */
 const RETURNED_SHARE = 0.78;
 /** Callers honour a delay up to a third of the time that they have left. */
@@ -38,10 +40,11 @@
   random: number,
 ): Admission {
   const limitMs = computeFirstEventLimitMs(request);
-  const isInTime =
-    placement.firstEventMs <= limitMs &&
-    placement.completionMs <= request.remainingMs * COMPLETION_SHARE;
-  if (isInTime) return { kind: 'admit' };
+  const waitMs = placement.firstEventMs - placement.prefillMs;
+  const isFirstEventInTime =
+    placement.firstEventMs <= limitMs || waitMs <= request.targetMs * SHORT_WAIT_SHARE;
+  const isCompleteInTime = placement.completionMs <= request.remainingMs * COMPLETION_SHARE;
+  if (isFirstEventInTime && isCompleteInTime) return { kind: 'admit' };
   const excessMs = Math.max(placement.firstEventMs - limitMs / 2, request.targetMs / 2);
   const spreadMs = excessMs * (1 + SPREAD * (2 * random - 1));
   const longestMs = request.remainingMs * LONGEST_DELAY_SHARE;
--- a/packages/policy/test/placement/stream-admission.test.ts
+++ b/packages/policy/test/placement/stream-admission.test.ts
@@ -15,6 +15,7 @@
   request: AdmissionRequest;
   firstEventMs: number;
   completionMs: number;
+  prefillMs?: number;
   admitted: boolean;
 }
 
@@ -51,6 +52,15 @@
     completionMs: 20_000,
     admitted: false,
   },
+  {
+    // Guards against refusing the largest prompts while nothing waits: they take as long at any time.
+    name: 'late by its own prefill alone',
+    request: plan,
+    firstEventMs: 2_800,
+    completionMs: 6_000,
+    prefillMs: 2_600,
+    admitted: true,
+  },
   {
     name: 'after the caller has left',
     request: { ...plan, isLowestTier: false, patienceMs: 2_400 },
@@ -62,8 +72,8 @@
 
 test.each(cases)(
   '$name: admitted $admitted',
-  ({ request, firstEventMs, completionMs, admitted }) => {
-    const placement = { serverId: 'a', prefillMs: 100, firstEventMs, completionMs };
+  ({ request, firstEventMs, completionMs, prefillMs = 100, admitted }) => {
+    const placement = { serverId: 'a', prefillMs, firstEventMs, completionMs };
     const admission = chooseAdmission(request, placement, 0.5);
     expect(admission.kind).toBe(admitted ? 'admit' : 'refuse');
   },
