--- a/packages/cli/test/transcript.test.ts
+++ b/packages/cli/test/transcript.test.ts
@@ -161,3 +161,35 @@
     expect(findings.every(({ line }) => line !== undefined)).toBe(true);
   });
 });
+
+describe('explaining a request of a gateway', () => {
+  // Guards against a page whose commands no longer lead from an id to its cause.
+  test('the commands of the operations page print the causes that it names', async () => {
+    const blocks = await readBlocks('docs/OPERATIONS.md');
+    const page = await readFile('docs/OPERATIONS.md', 'utf8');
+    const causes = [...page.matchAll(/^Prints `(cause: +[a-z-]+)`/gm)].map((match) => match[1]);
+    expect(causes).toHaveLength(blocks.length);
+    for (const [index, block] of blocks.entries()) {
+      const { code, output } = await runScript(`set -euo pipefail\n${block}`);
+      expect(code, output).toBe(0);
+      expect(output).toContain(causes[index]);
+    }
+  });
+
+  test('an id that is not in the logs is not found', async () => {
+    const log = join(root, 'docs/examples/gateway.log');
+    const result = await runCommand('explain', 'missing', '--log', log);
+    expect(result.code).toBe(5);
+  });
+});
+
+describe('settings of a gateway', () => {
+  // Guards against a check that stops at the first fault, or does not say where it is.
+  test('are checked as a whole, with the place of each finding', async () => {
+    const text = '{\n  "instanceId": "",\n  "peerPort": 70000,\n  "retryRatio": -1\n}';
+    await writeFile(join(folder, 'gateway.json'), text);
+    const result = await runCommand('settings', 'check', 'gateway.json', '--gateway');
+    expect(result.code).toBe(3);
+    for (const place of ['2:', '3:', '4:', 'storeAddress']) expect(result.stdout).toContain(place);
+  });
+});
