--- /dev/null
+++ b/packages/policy/test/placement/simulated-engine.ts
@@ -0,0 +1,91 @@
+import { DEFAULT_ENGINE_PROFILE, estimateStepMs } from '../../src';
+
+/** A stream at a simulated engine, and what its caller sees. */
+export interface SimulatedStream {
+  newPromptTokens: number;
+  contextTokens: number;
+  outputTokens: number;
+  arrivedAtMs: number;
+  firstEventAtMs: number | undefined;
+  longestPauseMs: number;
+  onFirstEvent(): void;
+  onPause(pauseMs: number): void;
+  onEnd(): void;
+}
+
+interface Decoding {
+  stream: SimulatedStream;
+  generated: number;
+  lastEventAtMs: number;
+}
+
+const PROFILE = DEFAULT_ENGINE_PROFILE;
+const PAIRS_PER_MILLION = 1_000_000;
+
+/** A model engine in virtual time that reads prompts in chunks between the tokens of running streams. */
+export class SimulatedEngine {
+  /** Time of every step over that of the profile. */
+  slowness = 1;
+  private clockMs = 0;
+  private readonly prefills: { stream: SimulatedStream; restTokens: number }[] = [];
+  private readonly decoding = new Set<Decoding>();
+
+  start(stream: SimulatedStream, nowMs: number): void {
+    this.advance(nowMs);
+    this.clockMs = Math.max(this.clockMs, nowMs);
+    this.prefills.push({ stream, restTokens: Math.max(1, stream.newPromptTokens) });
+  }
+
+  /** Runs steps until the given time; a step that has begun is finished. */
+  advance(untilMs: number): void {
+    while (this.clockMs < untilMs && this.prefills.length + this.decoding.size > 0) this.#runStep();
+  }
+
+  #runStep(): void {
+    const heldTokens = [...this.decoding].reduce(
+      (sum, { stream }) => sum + stream.contextTokens,
+      0,
+    );
+    const stepMs = estimateStepMs(PROFILE, this.decoding.size, heldTokens);
+    this.clockMs += this.slowness * (stepMs + this.#readChunk());
+    for (const entry of this.decoding) this.#generateToken(entry);
+  }
+
+  /** Reads one chunk from the prompts in their order and returns the time that it takes, in milliseconds. */
+  #readChunk(): number {
+    let budgetTokens = PROFILE.chunkTokens;
+    let readMs = 0;
+    while (budgetTokens > 0) {
+      const prefill = this.prefills[0];
+      if (prefill === undefined) break;
+      const tokens = Math.min(budgetTokens, prefill.restTokens);
+      const pairs = (tokens * prefill.stream.contextTokens) / 2 / PAIRS_PER_MILLION;
+      readMs += tokens / PROFILE.prefillTokensPerMs + pairs * PROFILE.attentionMsPerMillionPairs;
+      budgetTokens -= tokens;
+      prefill.restTokens -= tokens;
+      if (prefill.restTokens > 0) break;
+      this.prefills.shift();
+      this.decoding.add({ stream: prefill.stream, generated: 0, lastEventAtMs: 0 });
+    }
+    return readMs;
+  }
+
+  #generateToken(entry: Decoding): void {
+    const { stream } = entry;
+    entry.generated += 1;
+    const isEnd = entry.generated >= stream.outputTokens;
+    if (entry.generated % PROFILE.tokensPerEvent !== 0 && !isEnd) return;
+    if (stream.firstEventAtMs === undefined) {
+      stream.firstEventAtMs = this.clockMs;
+      stream.onFirstEvent();
+    } else {
+      const pauseMs = this.clockMs - entry.lastEventAtMs;
+      stream.longestPauseMs = Math.max(stream.longestPauseMs, pauseMs);
+      stream.onPause(pauseMs);
+    }
+    entry.lastEventAtMs = this.clockMs;
+    if (!isEnd) return;
+    this.decoding.delete(entry);
+    stream.onEnd();
+  }
+}
