--- a/packages/gateway/test/fake-store.ts
+++ b/packages/gateway/test/fake-store.ts
@@ -56,6 +56,10 @@
     this.remove(kind, name);
   }
 
+  listNames(kind: string): string[] {
+    return [...(this.objects.get(kind)?.keys() ?? [])];
+  }
+
   /** Changes an object as another writer does. */
   put(kind: string, name: string, spec: unknown): void {
     this.revision += 1;
--- a/packages/gateway/test/gateway-fixture.ts
+++ b/packages/gateway/test/gateway-fixture.ts
@@ -1,3 +1,4 @@
+import { createSocket } from 'node:dgram';
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { request } from 'node:http';
@@ -116,7 +117,8 @@
 }
 
 export interface TestGatewayOptions {
-  bundle?: RouteBundle;
+  /** Null starts without a configuration. */
+  bundle?: RouteBundle | null;
   servers?: readonly ListedServer[];
   keyRevocationMs?: number;
   drainLimitSeconds?: number;
@@ -125,12 +127,12 @@
 /** Starts a gateway on the loopback interface with a store in memory. */
 export async function startTestGateway(options: TestGatewayOptions = {}): Promise<TestGateway> {
   const store = new FakeStore();
-  store.put('bundles', 'main', options.bundle ?? makeBundle());
+  if (options.bundle !== null) store.put('bundles', 'main', options.bundle ?? makeBundle());
   for (const server of options.servers ?? []) store.put('servers', server.serverId, server);
   const [callerPort, readinessPort, peerPort] = await Promise.all([
     findFreePort(),
     findFreePort(),
-    findFreePort(),
+    findFreeUdpPort(),
   ]);
   const lines: LogLine[] = [];
   const settings: GatewaySettings = {
@@ -162,7 +164,9 @@
     log: createTestLog(lines),
   });
   await gateway.start();
-  for (let tries = 0; tries < 100 && !gateway.isReady(); tries += 1) await sleep(10);
+  if (options.bundle !== null && (options.servers ?? []).length > 0) {
+    await waitUntil(() => gateway.isReady());
+  }
   return {
     gateway,
     settings,
@@ -202,8 +206,8 @@
   key?: string;
   headers?: Record<string, string>;
   body?: string;
-  /** Leaves after this time, in milliseconds. */
-  leaveAfterMs?: number;
+  /** Leaves when this is resolved. */
+  leaveAfter?: Promise<void>;
 }
 
 /** Sends one request as a caller and reads what comes back. */
@@ -246,11 +250,34 @@
     sent.on('error', () => {
       settle({});
     });
-    if (options.leaveAfterMs !== undefined) setTimeout(() => sent.destroy(), options.leaveAfterMs);
+    void options.leaveAfter?.then(() => {
+      sent.destroy();
+    });
     sent.end(options.body);
   });
 }
 
+/** Waits until a condition holds; a busy machine only makes it take longer. */
+export async function waitUntil(isMet: () => boolean): Promise<void> {
+  const untilMs = performance.now() + WAIT_LIMIT_MS;
+  while (!isMet()) {
+    if (performance.now() > untilMs) throw new Error('the condition was not met in time');
+    await sleep(WAIT_POLL_MS);
+  }
+}
+
+const WAIT_LIMIT_MS = 10_000;
+const WAIT_POLL_MS = 10;
+
+/** Finds a free UDP port on the loopback interface. */
+export async function findFreeUdpPort(): Promise<number> {
+  const socket = createSocket('udp4');
+  await new Promise<void>((resolve) => socket.bind(0, '127.0.0.1', resolve));
+  const { port } = socket.address();
+  await new Promise<void>((resolve) => socket.close(() => resolve()));
+  return port;
+}
+
 async function findFreePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
--- a/packages/gateway/test/instance.test.ts
+++ b/packages/gateway/test/instance.test.ts
@@ -1,6 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, test } from 'vitest';
-import { makeBundle, makeRoute, makeServer, sendCall, startTestGateway } from './gateway-fixture';
+import {
+  makeBundle,
+  makeRoute,
+  makeServer,
+  sendCall,
+  startTestGateway,
+  waitUntil,
+} from './gateway-fixture';
+import type { TestGateway } from './gateway-fixture';
 import { startRawBackend } from './raw-backend';
 import type { RawHandler } from './raw-backend';
 
@@ -8,8 +16,15 @@
   socket.write(
     'HTTP/1.1 200 OK\r\ntest-signature: s\r\ntest-attempt: attempt-1\r\ncontent-length: 2\r\n\r\nok',
   );
-/** Time in which a change in the fake store reaches the gateway, in milliseconds. */
-const SPREAD_MS = 400;
+
+/** Whether the gateway has logged a line with these fields. */
+function hasLine(running: TestGateway, message: string, fields: Record<string, unknown>): boolean {
+  return running.lines.some(
+    (line) =>
+      line.message === message &&
+      Object.entries(fields).every(([name, value]) => line.fields[name] === value),
+  );
+}
 
 async function readReadiness(port: number): Promise<number | undefined> {
   const answer = await sendCall(port, '/readyz', { method: 'GET' });
@@ -17,9 +32,15 @@
 }
 
 test('an instance without a configuration is not ready and answers 503', async () => {
-  await using running = await startTestGateway({ bundle: undefined, servers: [] });
-  running.store.remove('bundles', 'main');
+  await using running = await startTestGateway({
+    bundle: null,
+    servers: [makeServer('one', 'desk', 1)],
+  });
+  await waitUntil(() => hasLine(running, 'listed objects of the store', { kind: 'bundles' }));
   expect(await readReadiness(running.readinessPort)).toBe(503);
+  const answer = await sendCall(running.callerPort, '/orders/1');
+  expect(answer.status).toBe(503);
+  expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
 });
 
 test('a new version is in force soon and an older one never again', async () => {
@@ -29,11 +50,11 @@
   });
   const added = makeRoute({ name: 'new', pathPrefix: '/new/' });
   running.store.put('bundles', 'main', makeBundle({ version: 7, routes: [added] }));
-  await sleep(SPREAD_MS);
+  await waitUntil(() => hasLine(running, 'configuration in force', { version: 7 }));
   expect((await sendCall(running.callerPort, '/new/1')).status).toBe(200);
   expect((await sendCall(running.callerPort, '/orders/1')).status).toBe(404);
   running.store.put('bundles', 'main', makeBundle({ version: 3 }));
-  await sleep(SPREAD_MS);
+  await waitUntil(() => hasLine(running, 'an older configuration is ignored', { version: 3 }));
   expect((await sendCall(running.callerPort, '/new/1')).status).toBe(200);
 });
 
@@ -45,7 +66,7 @@
   expect((await sendCall(running.callerPort, '/orders/1', { key: 'key-b' })).status).toBe(200);
   const teams = [{ name: 'team-a', keys: ['key-a'], priority: undefined }];
   running.store.put('bundles', 'main', makeBundle({ version: 2, teams }));
-  await sleep(SPREAD_MS);
+  await waitUntil(() => hasLine(running, 'configuration in force', { version: 2 }));
   expect((await sendCall(running.callerPort, '/orders/1', { key: 'key-b' })).status).toBe(401);
 });
 
@@ -58,7 +79,7 @@
     keyRevocationMs: 2_000,
   });
   running.store.mode = 'failing';
-  await sleep(1_000);
+  await waitUntil(() => !running.gateway.isReady());
   const keyed = await sendCall(running.callerPort, '/orders/1');
   expect(keyed.status).toBe(503);
   // The caller's next connection can reach an instance that hears the store.
@@ -67,7 +88,7 @@
   expect((await sendCall(running.callerPort, '/nowhere/1')).status).toBe(503);
   expect(await readReadiness(running.readinessPort)).toBe(503);
   running.store.mode = 'up';
-  await sleep(1_000);
+  await waitUntil(() => running.gateway.isReady());
   expect((await sendCall(running.callerPort, '/orders/1')).status).toBe(200);
 });
 
@@ -79,7 +100,7 @@
     servers: [listed, makeServer('staying', 'desk', staying.port)],
   });
   running.store.put('servers', 'leaving', { ...listed, state: 'draining' });
-  await sleep(SPREAD_MS);
+  await waitUntil(() => hasLine(running, 'backend server changed', { state: 'draining' }));
   for (let id = 0; id < 6; id += 1) await sendCall(running.callerPort, `/orders/${id}`);
   expect(leaving.countConnections()).toBe(0);
 });
@@ -108,11 +129,11 @@
 
 test('instances find each other in the store', async () => {
   await using running = await startTestGateway({ servers: [] });
-  await sleep(50);
-  const { objects } = await running.store.listObjects('instances');
-  expect(objects.map(({ name }) => name)).toEqual(['entry-1']);
+  const listNames = () => running.store.listNames('instances');
+  await waitUntil(() => listNames().length > 0);
+  expect(listNames()).toEqual(['entry-1']);
   await running.gateway.drain();
-  expect((await running.store.listObjects('instances')).objects).toEqual([]);
+  expect(listNames()).toEqual([]);
 });
 
 test('a reload takes over what can change and names what needs a restart', async () => {
--- a/packages/gateway/test/load-exchange.test.ts
+++ b/packages/gateway/test/load-exchange.test.ts
@@ -4,11 +4,9 @@
 import { encodeCbor } from '@pollendrum/protocol';
 import { expect, test } from 'vitest';
 import { LoadExchange } from '../src/load-exchange';
-import { createTestLog } from './gateway-fixture';
+import { createTestLog, findFreeUdpPort, waitUntil } from './gateway-fixture';
 import type { LogLine } from './gateway-fixture';
 
-const BASE_PORT = 40_000 + (process.pid % 10_000);
-
 function startExchange(instanceId: string, port: number) {
   const loads = new LoadTable();
   const prompts: string[] = [];
@@ -26,13 +24,14 @@
 }
 
 test('instances see the load and the prompts of each other', async () => {
-  const one = startExchange('one', BASE_PORT);
-  const two = startExchange('two', BASE_PORT + 1);
+  const [portOne, portTwo] = [await findFreeUdpPort(), await findFreeUdpPort()];
+  const one = startExchange('one', portOne);
+  const two = startExchange('two', portTwo);
   await using _one = one.exchange;
   await using _two = two.exchange;
   const peers = [
-    { instanceId: 'one', address: '127.0.0.1', port: BASE_PORT },
-    { instanceId: 'two', address: '127.0.0.1', port: BASE_PORT + 1 },
+    { instanceId: 'one', address: '127.0.0.1', port: portOne },
+    { instanceId: 'two', address: '127.0.0.1', port: portTwo },
   ];
   one.exchange.setPeers(peers);
   two.exchange.setPeers(peers);
@@ -47,33 +46,32 @@
   };
   one.loads.add(placed, performance.now());
   one.exchange.addPrompt({ serverId: 'engine', parts: [{ id: 'aa', tokens: 500 }] });
-  await sleep(200);
+  await waitUntil(() => two.loads.getLoad('engine', performance.now()).waiting === 1);
   const seen = two.loads.getLoad('engine', performance.now());
   expect(seen).toMatchObject({ waiting: 1, queuedPrefillMs: 120, heldTokens: 900 });
   expect(seen.longShare).toBeGreaterThan(0);
   expect(two.prompts).toEqual(['engine']);
   one.loads.remove(placed);
-  await sleep(200);
-  expect(two.loads.getLoad('engine', performance.now()).waiting).toBe(0);
+  await waitUntil(() => two.loads.getLoad('engine', performance.now()).waiting === 0);
 });
 
 test.each([
   { name: 'bytes that are no CBOR', bytes: Buffer.from([0xff, 0x00, 0x13]) },
   { name: 'a message of another shape', bytes: encodeCbor({ instanceId: 'x' }) },
 ])('$name are logged and dropped', async ({ bytes }) => {
-  const port = BASE_PORT + 2;
+  const port = await findFreeUdpPort();
   const one = startExchange('one', port);
   await using _ = one.exchange;
   await sleep(20);
   const socket = createSocket('udp4');
   await new Promise<void>((resolve) => socket.send(bytes, port, '127.0.0.1', () => resolve()));
-  await sleep(50);
+  await waitUntil(() => one.lines.some(({ level }) => level === 'warn'));
   socket.close();
-  expect(one.lines.filter(({ level }) => level === 'warn')).toHaveLength(1);
+  expect(one.lines).toHaveLength(1);
 });
 
 test('a report that was overtaken by a newer one is ignored', async () => {
-  const port = BASE_PORT + 3;
+  const port = await findFreeUdpPort();
   const one = startExchange('one', port);
   await using _ = one.exchange;
   await sleep(20);
@@ -101,6 +99,7 @@
   for (const bytes of [makeReport(2, 5), makeReport(1, 9)]) {
     await new Promise<void>((resolve) => socket.send(bytes, port, '127.0.0.1', () => resolve()));
   }
+  await waitUntil(() => one.loads.getLoad('engine', performance.now()).waiting > 0);
   await sleep(50);
   socket.close();
   expect(one.loads.getLoad('engine', performance.now()).waiting).toBe(5);
--- a/packages/gateway/test/plain-requests.test.ts
+++ b/packages/gateway/test/plain-requests.test.ts
@@ -1,10 +1,11 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, test } from 'vitest';
-import { makeServer, sendCall, startTestGateway } from './gateway-fixture';
+import { makeServer, sendCall, startTestGateway, waitUntil } from './gateway-fixture';
 import { startRawBackend } from './raw-backend';
 import type { RawHandler } from './raw-backend';
 
+const LONGER_THAN_A_CLOSE_MS = 250;
 const SIGNED = 'test-signature: s1\r\ntest-attempt: attempt-1\r\n';
 
 function writeAnswer(socket: Socket, status: string, headers: string, body: string): void {
@@ -244,14 +245,18 @@
   { name: 'an order runs to its end', path: '/orders/1', closes: false },
 ])('when the caller leaves, $name', async ({ path, closes }) => {
   let isClosed = false;
+  let markReceived: () => void = () => undefined;
+  const received = new Promise<void>((resolve) => (markReceived = resolve));
   await using backend = await startRawBackend((socket) => {
     socket.on('close', () => (isClosed = true));
+    markReceived();
   });
   await using running = await startTestGateway({
     servers: [makeServer('one', 'desk', backend.port)],
   });
-  await sendCall(running.callerPort, path, { leaveAfterMs: 60 });
-  await sleep(250);
+  await sendCall(running.callerPort, path, { leaveAfter: received });
+  if (closes) await waitUntil(() => isClosed);
+  else await sleep(LONGER_THAN_A_CLOSE_MS);
   expect(isClosed).toBe(closes);
 });
 
--- a/packages/gateway/test/store-state.test.ts
+++ b/packages/gateway/test/store-state.test.ts
@@ -6,7 +6,7 @@
 import type { ServerChange } from '../src/server-registry';
 import { FakeStore } from './fake-store';
 import type { StoreMode } from './fake-store';
-import { createTestLog, makeServer } from './gateway-fixture';
+import { createTestLog, makeServer, waitUntil } from './gateway-fixture';
 import type { LogLine } from './gateway-fixture';
 
 interface Watched {
@@ -48,11 +48,10 @@
   store.put('things', 'a', {});
   const watched = startWatcher(store);
   await using _ = watched.watcher;
-  await sleep(50);
+  await waitUntil(() => watched.names.has('a'));
   store.put('things', 'b', {});
   store.remove('things', 'a');
-  await sleep(80);
-  expect([...watched.names]).toEqual(['b']);
+  await waitUntil(() => watched.names.has('b') && !watched.names.has('a'));
 });
 
 test('a watcher lists anew when history is lost', async () => {
@@ -60,12 +59,11 @@
   store.put('things', 'a', {});
   const watched = startWatcher(store);
   await using _ = watched.watcher;
-  await sleep(50);
+  await waitUntil(() => watched.names.has('a'));
   // Guards against a server that leaves in the gap between two histories and gets requests for good.
   store.removeUnheard('things', 'a');
   store.mode = 'history-lost';
-  await sleep(150);
-  expect([...watched.names]).toEqual([]);
+  await waitUntil(() => !watched.names.has('a'));
   expect(store.listCalls).toBe(2);
 });
 
@@ -75,16 +73,15 @@
     const store = new FakeStore();
     const watched = startWatcher(store);
     await using _ = watched.watcher;
-    await sleep(50);
+    await waitUntil(() => watched.proofs.length > 0);
     store.mode = mode;
-    await sleep(400);
+    await waitUntil(() => watched.lines.some(({ message }) => message === 'store lost'));
     const proofsBefore = watched.proofs.length;
     await sleep(100);
     expect(watched.proofs.length).toBe(proofsBefore);
     store.mode = 'up';
     store.put('things', 'c', {});
-    await sleep(700);
-    expect(watched.names.has('c')).toBe(true);
+    await waitUntil(() => watched.names.has('c'));
     expect(watched.regained()).toBeGreaterThan(0);
     const messages = watched.lines.map(({ message }) => message);
     expect(messages.filter((message) => message === 'store lost')).toHaveLength(1);
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, test } from 'vitest';
-import { makeServer, sendCall, startTestGateway } from './gateway-fixture';
+import { makeServer, sendCall, startTestGateway, waitUntil } from './gateway-fixture';
 import { startRawBackend } from './raw-backend';
 import type { RawHandler } from './raw-backend';
 
@@ -166,17 +166,19 @@
 
 test('when the caller leaves, the server stops', async () => {
   let isClosed = false;
+  let markReceived: () => void = () => undefined;
+  const received = new Promise<void>((resolve) => (markReceived = resolve));
   await using backend = await startRawBackend((socket) => {
     socket.on('close', () => (isClosed = true));
+    markReceived();
     socket.write(`${HEAD}test-signature: first\r\n\r\n`);
     writeChunk(socket, makeEvent(1));
   });
   await using running = await startTestGateway({
     servers: [makeServer('one', 'engines', backend.port)],
   });
-  await sendCall(running.callerPort, '/chat/1', { leaveAfterMs: 60 });
-  await sleep(200);
-  expect(isClosed).toBe(true);
+  await sendCall(running.callerPort, '/chat/1', { leaveAfter: received });
+  await waitUntil(() => isClosed);
 });
 
 test('a stream that is not complete at its time limit breaks off', async () => {
