Work off the time before a change of an engine stand-in's speed at the old one

Ruled out: the bound; the model's time is the least that it may take. Change: a change of speed runs a step at the old one first.

--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -130,7 +130,7 @@
   applyFaults(update: Partial<EngineFaults>): void {
     const { silent, crash, ...kept } = update;
     Object.assign(this.faults, kept);
-    this.scheduler.slowFactor = Math.max(this.faults.slowFactor, Number.MIN_VALUE);
+    this.scheduler.setSlowFactor(Math.max(this.faults.slowFactor, Number.MIN_VALUE));
     this.recordLoad();
     if (silent) this.host.setSilent();
     if (crash) this.endByCrash();
--- a/packages/stand-ins/src/engine/scheduler.ts
+++ b/packages/stand-ins/src/engine/scheduler.ts
@@ -60,7 +60,7 @@
     generatedTokens: 0,
     cancelledTokens: 0,
   };
-  slowFactor = 1;
+  private slowFactor = 1;
   private readonly prefixCache: PrefixCache;
   private timer: NodeJS.Timeout | undefined;
   private lastStepMs = 0;
@@ -98,6 +98,12 @@
     this.startWaiting();
   }
 
+  /** Changes the speed; the time since the last step is worked off at the old one first. */
+  setSlowFactor(slowFactor: number): void {
+    if (this.timer !== undefined) this.runStep();
+    this.slowFactor = slowFactor;
+  }
+
   /** Stops all generation at once. */
   [Symbol.dispose](): void {
     clearInterval(this.timer);
--- a/packages/stand-ins/test/engine-scheduling.test.ts
+++ b/packages/stand-ins/test/engine-scheduling.test.ts
@@ -60,6 +60,23 @@
   }
 });
 
+// Guards against work that a busy machine credits to an engine for the time before it was sped up.
+test('the time before a change of the slow factor counts at the old factor', async () => {
+  engine = await createEngine({ tokensPerSecond: 200, prefillTokensPerSecond: 100_000 });
+  engine.applyFaults({ slowFactor: 10_000 });
+  const answer = sendChat(engine, { maxTokens: 30 });
+  await waitUntil(() => engine.listAttempts().some(isRunning));
+  const blockedUntilMs = Date.now() + 90;
+  while (Date.now() < blockedUntilMs);
+  engine.applyFaults({ slowFactor: 1 });
+  const releasedAtMs = Date.now();
+  await readEvents(await answer);
+  const [attempt] = engine.listAttempts();
+  const decodeMs = (attempt?.generatedTokens ?? 0) * 5;
+  expect(decodeMs).toBeGreaterThan(0);
+  expect(((attempt?.endedAtMs ?? 0) - releasedAtMs) / decodeMs).toBeGreaterThan(0.8);
+});
+
 // Guards against a prefix cache that has no effect, or no limit.
 test.each([
   [100_000, [0, 1]],
