--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -2,13 +2,15 @@
 import { Client } from 'undici';
 import type { buildConnector } from 'undici';
 
-/** A server in the same region answers within milliseconds, so this is a lost packet or an unreachable host. */
+/** Time limit of a connect, in milliseconds; servers are milliseconds away, so beyond it a host is unreachable. */
 const CONNECT_TIMEOUT_MS = 700;
 /** Idle time after which a connection is closed when the server states none, in milliseconds. */
 const IDLE_TIMEOUT_MS = 4_000;
+/** Longest idle time that a server's own statement is taken for, in milliseconds. */
 const LONGEST_IDLE_MS = 60_000;
 /** Closes this long before the server would, in milliseconds, so that no request meets the close. */
 const IDLE_MARGIN_MS = 1_000;
+/** Idle time before the first TCP keep-alive probe, in milliseconds. */
 const KEEP_ALIVE_PROBE_MS = 1_000;
 /** An idle connection older than this is not used for a request that must not be repeated, in milliseconds. */
 const SAFE_IDLE_MS = 6_000;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -8,6 +8,13 @@
 import type { ServerChoice } from './server-chooser';
 import type { Service } from './bundle';
 
+/** A first byte is overdue when it is this many predictions late. */
+const OVERDUE_FACTOR = 3;
+/** Added to that time in milliseconds, since predictions of short prompts are a few milliseconds. */
+const OVERDUE_MARGIN_MS = 600;
+/** Share of the allowed retry ratio that is used, since windows of the ratio are not aligned. */
+const RETRY_RATIO_SHARE = 0.75;
+
 /** Why nothing could be sent. */
 export type DispatchRefusal =
   /** No backend server of the service is listed that was not tried. */
@@ -43,10 +50,6 @@
     this.service = exchange.context.getTable()?.getService(this.serviceName);
   }
 
-  countSends(): number {
-    return this.sends;
-  }
-
   /**
    * Chooses a server and takes a connection to it.
    *
@@ -221,19 +224,11 @@
   }
 }
 
-/** A first byte is overdue when it is this many predictions late. */
-const OVERDUE_FACTOR = 3;
-/** Added to that time in milliseconds, since predictions of short prompts are a few milliseconds. */
-const OVERDUE_MARGIN_MS = 600;
-
 /** Time after a send at which its first byte is overdue, in milliseconds. */
 export function computeOverdueMs(predictedMs: number): number {
   return OVERDUE_FACTOR * predictedMs + OVERDUE_MARGIN_MS;
 }
 
-/** Share of the allowed retry ratio that is used, since windows of the ratio are not aligned. */
-const RETRY_RATIO_SHARE = 0.75;
-
 function chooseService(services: readonly { service: string; weight: number }[]): string {
   const total = services.reduce((sum, { weight }) => sum + weight, 0);
   let rest = Math.random() * total;
--- a/packages/gateway/src/gateway-log.ts
+++ b/packages/gateway/src/gateway-log.ts
@@ -5,6 +5,8 @@
 
 /** Lines beyond this many bytes that wait to be written are dropped and counted. */
 const MAX_PENDING_BYTES = 1_048_576;
+/** Time before a full pipe is tried again, in milliseconds. */
+const RETRY_MS = 20;
 const STANDARD_OUTPUT = 1;
 
 /** Writes lines to a file descriptor without ever blocking the event loop; drops lines when its buffer is full. */
@@ -74,9 +76,6 @@
   }
 }
 
-/** Time before a full pipe is tried again, in milliseconds. */
-const RETRY_MS = 20;
-
 /** A log with a way to wait until its lines are written. */
 export interface GatewayLogger {
   log: GatewayLog;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,15 +55,20 @@
   'retryRatio',
   'retrySlack',
 ] as const satisfies readonly (keyof GatewaySettings)[];
+/** Wait of the watch for other instances, in milliseconds; late news of one costs only placements. */
 const PEER_WAIT_MS = 15_000;
+/** Pause before an announcement that failed is tried again, in milliseconds. */
+const ANNOUNCE_RETRY_MS = 1_000;
 const DEFAULT_READINESS_PATH = '/readyz';
 /** Share of the retry slack that instances use together, since their counts are not exact. */
 const RETRY_SLACK_SHARE = 0.6;
+/** How often servers whose entries lapsed are looked for, in milliseconds. */
 const EXPIRE_INTERVAL_MS = 200;
 /** After SIGTERM the balancer goes on sending new connections until it has missed two checks, in milliseconds. */
 const BALANCER_LAG_MS = 3_000;
 /** Time before SIGKILL at which the process ends by itself, in milliseconds. */
 const EXIT_MARGIN_MS = 300;
+/** How often a stopping instance looks whether its last request has ended, in milliseconds. */
 const DRAIN_POLL_MS = 50;
 const MS_PER_SECOND = 1_000;
 
@@ -389,8 +394,6 @@
   }
 }
 
-const ANNOUNCE_RETRY_MS = 1_000;
-
 function createReadinessServer(settings: GatewaySettings, isReady: () => boolean): Server {
   const path = settings.readinessPath ?? DEFAULT_READINESS_PATH;
   return createServer((request, response) => {
--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -11,6 +11,7 @@
 const SHORT_WAIT_MS = 300;
 /** A watch that took this much longer than its wait was held up by an outage, in milliseconds. */
 const LATE_ANSWER_MS = 300;
+/** Bounds of the pause after a failed call, in milliseconds; the longest keeps knowledge of keys fresh. */
 const FIRST_BACKOFF_MS = 100;
 const LONGEST_BACKOFF_MS = 400;
 
--- a/packages/policy/src/placement/stream-admission.ts
+++ b/packages/policy/src/placement/stream-admission.ts
@@ -27,6 +27,8 @@
 const SHORT_WAIT_SHARE = 0.2;
 /** A caller with less than this share of the timeout left has been refused before; it is served late rather than never. */
 const RETURNED_SHARE = 0.78;
+/** A stream that would just miss its time limit may still make it, since predictions are cautious. */
+const COMPLETION_SHARE = 1.15;
 /** Callers honour a delay up to a third of the time that they have left. */
 const LONGEST_DELAY_SHARE = 0.32;
 const SHORTEST_DELAY_MS = 200;
@@ -52,9 +54,6 @@
   return { kind: 'refuse', predictedMs: placement.firstEventMs, retryAfterMs };
 }
 
-/** A stream that would just miss its time limit may still make it, since predictions are cautious. */
-const COMPLETION_SHARE = 1.15;
-
 function computeFirstEventLimitMs(request: AdmissionRequest): number {
   const patienceMs = Math.min(request.patienceMs, request.remainingMs) * PATIENCE_SHARE;
   const hasReturned = request.remainingMs < request.timeoutMs * RETURNED_SHARE;
--- a/packages/policy/src/placement/stream-placement.ts
+++ b/packages/policy/src/placement/stream-placement.ts
@@ -52,11 +52,14 @@
 
 /** Weights of the parts of a placement's cost; 1 is one request that is certainly late. */
 const HOME_WEIGHT = 0.15;
+/** Less than the price of reading shared parts again, so that it only decides where they are read first. */
 const AFFINITY_WEIGHT = 0.1;
 const EXPOSURE_WEIGHT = 0.5;
 /** A stream is exposed for about a second, in which a server that reads long prompts half of its time reads one. */
 const EXPOSURE_PER_LONG_SHARE = 2;
+/** A server that fails half of its requests costs as much as certain lateness. */
 const FAILURE_WEIGHT = 2;
+/** More than all else together, so that an avoided server is used only when all are avoided. */
 const AVOIDED_WEIGHT = 6;
 /** Cost of prefill time while the servers are idle and, on top, while they are busy all the time. */
 const IDLE_WORK_WEIGHT = 0.3;
@@ -80,6 +83,10 @@
 /** Share of an engine's memory that running streams may hold before some are preempted. */
 const SAFE_MEMORY_SHARE = 0.85;
 const MEMORY_WEIGHT = 3;
+/** Prompt by which pause sensitivity is judged, in tokens. */
+const TYPICAL_LONG_PROMPT = 10_000;
+/** Pause targets up to this multiple of the longest typical pause count as tight. */
+const SENSITIVE_FACTOR = 1.2;
 /** Decoding gets at least this share of an engine's time in predictions. */
 const LEAST_DECODE_SHARE = 0.08;
 
@@ -245,11 +252,6 @@
   return pauseTargetMs < SENSITIVE_FACTOR * fullPauseMs;
 }
 
-/** Prompt by which pause sensitivity is judged, in tokens. */
-const TYPICAL_LONG_PROMPT = 10_000;
-/** Pause targets up to this multiple of the longest typical pause count as tight. */
-const SENSITIVE_FACTOR = 1.2;
-
 /** Every instance orders servers alike, whatever the order of its list. */
 function compareByHash(a: string, b: string): number {
   return hashName(a) - hashName(b) || (a < b ? -1 : 1);
