--- a/packages/cli/test/transcript.test.ts
+++ b/packages/cli/test/transcript.test.ts
@@ -177,7 +177,7 @@
   });
 
   test('an id that is not in the logs is not found', async () => {
-    const log = join(root, 'docs/examples/gateway.log');
+    const log = join(root, 'docs/examples/gateway.jsonl');
     const result = await runCommand('explain', 'missing', '--log', log);
     expect(result.code).toBe(5);
   });
