Start waiting requests before shedding those past their queue time

A takeover after a freeze takes 2.5 s. The new dispatcher shed every request past its budget of 1.3 s before it looked at the free slots, then started lower tiers on them: questions were shed as queue_timeout while three briefs started.

Ruled out: the refusal at enqueue (the cause was queue-timeout, not queue-wait-over-budget); a longer budget (it only moves the limit).

Change: a pass starts what waits, in tier order, and then sheds what is past its budget. Requests whose start would be wasted work (over their time limit, or of a goodput class that would not end in time) are still shed first.

--- a/packages/policy/src/fair-queue.ts
+++ b/packages/policy/src/fair-queue.ts
@@ -22,7 +22,10 @@
   /** Start of the time that counts against the class's budget, in milliseconds. */
   queuedSinceMs: number;
   enqueuedAtMs: number;
+  /** End of its time in the queue, in milliseconds. */
   timeoutAtMs: number;
+  /** A later start would be wasted work, in milliseconds; never before `timeoutAtMs`. */
+  usefulUntilMs: number;
   estimatedServiceMs: number;
   /** Service time that few requests exceed, in milliseconds. */
   longServiceMs: number;
--- a/packages/policy/src/queue.ts
+++ b/packages/policy/src/queue.ts
@@ -31,11 +31,18 @@
   longServiceMs: number,
 ): number {
   if (settings.preference === 'attainment') return settings.targetFirstByteMs;
+  return Math.min(settings.maxQueueMs, resolveUsefulMs(settings, request, longServiceMs));
+}
+
+/** Time in the queue, in milliseconds, after which a start is wasted work: it would probably not end in time. */
+function resolveUsefulMs(
+  settings: SchedulingClass,
+  request: QueuedRequest,
+  longServiceMs: number,
+): number {
+  if (settings.preference === 'attainment') return Infinity;
   const endableMs = request.expiresAtMs - longServiceMs - request.arrivedAtMs;
-  return Math.min(
-    settings.maxQueueMs,
-    Math.max(settings.targetFirstByteMs * MIN_BUDGET_RATIO, endableMs),
-  );
+  return Math.max(settings.targetFirstByteMs * MIN_BUDGET_RATIO, endableMs);
 }
 
 function isNewer(a: WaitingRequest, b: WaitingRequest): boolean {
@@ -55,6 +62,7 @@
   private sorted: ClassQueue[] = [];
   private newestByTier = new Map<number, Heap<WaitingRequest>>();
   private timeouts = makeTimeoutHeap();
+  private uselessStarts = makeUselessStartHeap();
   private sequence = 0;
 
   get length(): number {
@@ -86,8 +94,9 @@
     this.sortClasses();
     this.newestByTier = new Map();
     this.timeouts = makeTimeoutHeap();
+    this.uselessStarts = makeUselessStartHeap();
     for (const waiting of this.requests.values()) {
-      waiting.timeoutAtMs = computeTimeout(waiting);
+      updateLimits(waiting);
       this.addToOrders(waiting);
     }
   }
@@ -124,9 +133,10 @@
       queuedSinceMs: resolveQueuedSince(request, nowMs),
       enqueuedAtMs: nowMs,
       timeoutAtMs: 0,
+      usefulUntilMs: 0,
       isWaiting: true,
     };
-    waiting.timeoutAtMs = computeTimeout(waiting);
+    updateLimits(waiting);
     this.requests.set(request.attemptId, waiting);
     const same = this.byFingerprint.get(request.fingerprint);
     if (same === undefined) this.byFingerprint.set(request.fingerprint, new Set([waiting]));
@@ -170,6 +180,12 @@
     return first !== undefined && first.timeoutAtMs <= nowMs ? first : undefined;
   }
 
+  /** A request whose start would be wasted work. */
+  findUselessStart(nowMs: number): WaitingRequest | undefined {
+    const first = this.uselessStarts.getFirst();
+    return first !== undefined && first.usefulUntilMs <= nowMs ? first : undefined;
+  }
+
   /** Time of the next timeout in milliseconds; Infinity if nothing waits. */
   getNextTimeoutMs(): number {
     return this.timeouts.getFirst()?.timeoutAtMs ?? Infinity;
@@ -203,6 +219,7 @@
     }
     newest.add(waiting);
     this.timeouts.add(waiting);
+    this.uselessStarts.add(waiting);
   }
 
   private removeFromIndex(waiting: WaitingRequest): void {
@@ -215,6 +232,7 @@
 
   private discardRemoved(waiting: WaitingRequest): void {
     this.timeouts.discardRemoved(this.length);
+    this.uselessStarts.discardRemoved(this.length);
     this.newestByTier.get(waiting.classQueue.settings.tier)?.discardRemoved(this.length);
   }
 
@@ -230,12 +248,19 @@
   return request.isRetry ? nowMs : Math.min(request.arrivedAtMs, nowMs);
 }
 
-function computeTimeout(waiting: WaitingRequest): number {
+/** Sets when the request's time in the queue is over and until when its start is of use. */
+function updateLimits(waiting: WaitingRequest): void {
   const { request, classQueue, queuedSinceMs, longServiceMs } = waiting;
   const budgetMs = resolveBudgetMs(classQueue.settings, request, longServiceMs);
-  return Math.min(queuedSinceMs + budgetMs, request.expiresAtMs);
+  const usefulMs = resolveUsefulMs(classQueue.settings, request, longServiceMs);
+  waiting.timeoutAtMs = Math.min(queuedSinceMs + budgetMs, request.expiresAtMs);
+  waiting.usefulUntilMs = Math.min(queuedSinceMs + usefulMs, request.expiresAtMs);
 }
 
 function makeTimeoutHeap(): Heap<WaitingRequest> {
   return new Heap<WaitingRequest>((a, b) => a.timeoutAtMs < b.timeoutAtMs, isStillWaiting);
 }
+
+function makeUselessStartHeap(): Heap<WaitingRequest> {
+  return new Heap<WaitingRequest>((a, b) => a.usefulUntilMs < b.usefulUntilMs, isStillWaiting);
+}
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -156,12 +156,16 @@
   takeDecisions(nowMs: number): Decision[] {
     this.setNow(nowMs);
     this.expireCrashes();
+    this.shedUselessStarts();
+    const started: Decision[] = [];
+    // After a takeover or a freeze, requests are past their budgets that no dispatcher could start.
+    // Shedding them first would give their slots to lower tiers.
+    if (this.queue.length > 0) this.startWaiting(started);
     this.shedTimedOut();
-    const decisions = [...this.pending.values()];
+    const shed = [...this.pending.values()];
     this.pending = new Map();
-    if (this.queue.length > 0) this.startWaiting(decisions);
     this.hasChanged = false;
-    return decisions;
+    return [...shed, ...started];
   }
 
   getNextWakeMs(): number {
@@ -215,8 +219,16 @@
   }
 
   private shedTimedOut(): void {
+    this.shedLate(() => this.queue.findTimedOut(this.nowMs));
+  }
+
+  private shedUselessStarts(): void {
+    this.shedLate(() => this.queue.findUselessStart(this.nowMs));
+  }
+
+  private shedLate(findNext: () => WaitingRequest | undefined): void {
     for (;;) {
-      const late = this.queue.findTimedOut(this.nowMs);
+      const late = findNext();
       if (late === undefined) return;
       this.shedWaiting(late, makeTimeoutRefusal(this.makeAdmissionInput(), late.queuedSinceMs));
     }
--- a/packages/policy/test/scheduler.test.ts
+++ b/packages/policy/test/scheduler.test.ts
@@ -265,6 +265,23 @@
     expect(scheduler.getNextWakeMs()).toBe(Infinity);
   });
 
+  // Guards against a new dispatcher that sheds, for the time without a dispatcher, what it could start,
+  // and starts a lower tier in its place; and against starts that no caller can wait for.
+  test.each<{ name: string; fields: Partial<QueuedRequest>; expected: string[] }>([
+    { name: 'starts first', fields: {}, expected: ['q>s1', 'b>s1'] },
+    {
+      name: 'is shed when its time limit is over',
+      fields: { expiresAtMs: 2400 },
+      expected: ['q:queue-timeout', 'b>s1'],
+    },
+  ])('a request past its budget after a takeover $name', ({ fields, expected }) => {
+    const classes = [makeClass('quick'), makeClass('bulk', { tier: 2, preference: 'goodput' })];
+    const scheduler = createTestScheduler({ classes, servers: [makeServer('s1', 2)] });
+    scheduler.enqueue(makeRequest('b', { className: 'bulk', arrivedAtMs: 0 }), 2500);
+    scheduler.enqueue(makeRequest('q', { arrivedAtMs: 0, ...fields }), 2500);
+    expect(toText(scheduler.takeDecisions(2500))).toEqual(expected);
+  });
+
   // Guards against evicting a higher tier or an older request from a full queue.
   test.each([
     ['quick', 'b1'],
