Tell requests that a killed instance never read from those it took

The check exempted only bodies sent after the kill.

Change: an instance logs 'request received' at debug level, the matrix reads these lines, and a request without one at a killed instance needs no cause. A new check demands the line for every answered request, so a lost line cannot widen the exemption.

Ruled out: an exemption by time before the kill; it would also cover requests that the instance had taken.

--- a/packages/bench/src/matrix/checker.ts
+++ b/packages/bench/src/matrix/checker.ts
@@ -36,6 +36,7 @@
   { name: 'a planned stop cuts nothing in flight', run: checkPlannedStop },
   { name: 'the newest accepted bundle in force', run: checkBundles },
   { name: 'a request crashes at most two servers', run: checkCrashes },
+  { name: 'a log line for each answered request', run: checkReceivedLines },
 ];
 
 /** Runs all rules. */
@@ -103,6 +104,17 @@
   });
 }
 
+/** The causes of requests to a killed instance are judged by these lines. */
+function checkReceivedLines({ fleet, traffic }: CellContext): string[] {
+  return traffic.observations
+    .filter(({ result }) => result.kind === 'answered')
+    .filter(
+      ({ instanceId, requestId }) =>
+        fleet.getMember(instanceId).receivedRequestIds?.has(requestId) !== true,
+    )
+    .map(describeObservation);
+}
+
 function checkAnswers(context: CellContext): string[] {
   return context.traffic.observations
     .filter((observation) => isWrongAnswer(context, observation))
--- a/packages/bench/src/matrix/fleet.ts
+++ b/packages/bench/src/matrix/fleet.ts
@@ -38,6 +38,8 @@
   url: string;
   /** Its entry in the platform's list; undefined for the platform. */
   listed?: ListedInstance;
+  /** Requests that the process logged as received; undefined for other processes than instances. */
+  receivedRequestIds?: ReadonlySet<string>;
   /** Whether the process has ended for any reason. */
   hasExited: boolean;
   /** When the matrix killed it, Unix time in milliseconds. */
@@ -165,14 +167,20 @@
     const file = join(this.directory, `${id}.json`);
     const settings = this.buildSettings(id, httpPort, peerPort);
     await writeFile(file, JSON.stringify(settings));
+    const receivedRequestIds = new Set<string>();
     const started = await this.group.start({
       script: resolveScript('pollendrum.cjs'),
       args: ['serve', '--settings', file],
       stopTimeoutMs: STOP_TIMEOUT_MS,
+      onLine: (line) => {
+        const requestId = parseReceivedLine(line);
+        if (requestId !== undefined) receivedRequestIds.add(requestId);
+      },
     });
     const { failureDomain } = settings;
     const member: FleetMember = {
       ...{ id, role: 'instance', process: started, url: toUrl(started.port), hasExited: false },
+      receivedRequestIds,
       listed: {
         ...{ id, role: 'router', address: ADDRESS, port: started.port, peerPort, failureDomain },
         ...{ region: REGION, state: 'live' },
@@ -196,7 +204,8 @@
       requiredSignatures: REQUIRED_SIGNATURES,
       balancerLagMs: BALANCER_LAG_MS,
       drainLimitMs: DRAIN_LIMIT_MS,
-      logLevel: 'warn',
+      // The line that an instance writes for each request it takes is a debug line.
+      logLevel: 'debug',
       traceSampleRatio: 0,
     };
   }
@@ -220,3 +229,10 @@
   const root = here.endsWith('.cjs') ? join(here, '../..') : join(here, '../../../../..');
   return join(root, 'dist', name);
 }
+
+/** Id of the request that an instance took, if the log line reports one. */
+function parseReceivedLine(line: string): string | undefined {
+  if (!line.includes('"request received"')) return undefined;
+  const { requestId } = JSON.parse(line) as { requestId?: string };
+  return requestId;
+}
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -26,6 +26,11 @@
    * @default 10000
    */
   stopTimeoutMs?: number;
+  /**
+   * Called with each line of standard output.
+   * @default undefined
+   */
+  onLine?: (line: string) => void;
 }
 
 /** The line that a process prints when it listens; it may carry further fields. */
@@ -114,6 +119,7 @@
       if (!this.child.stdout) return;
       // The reader stays, so that later output does not fill the pipe.
       createInterface({ input: this.child.stdout }).on('line', (line) => {
+        this.options.onLine?.(line);
         const parsed = parseReadyLine(line);
         if (parsed) settle(parsed);
       });
--- a/packages/router/src/entry/entry-task.ts
+++ b/packages/router/src/entry/entry-task.ts
@@ -149,6 +149,7 @@
     response.setHeader('x-request-id', requestId);
     if (this.#stoppingSinceMs !== undefined) response.setHeader('connection', 'close');
     const url = request.url ?? '/';
+    this.options.telemetry.log.debug('request received', { requestId, method: request.method });
     try {
       if (url === '/livez') response.end('ok\n');
       else if (url === '/readyz') this.#sendReadiness(response);
