Watch the store every second for revoked keys

An outage begins with knowledge as old as one watch, up to 2.2 s, of the 3.75 s that it may be used.

Change: the watch that proves knowledge of keys waits 1 s; the others stay at 2.2 and 15 s.

Test: an outage that begins 2 s after a watch does, keys used 2.5 s later; it fails with the wait of 2.2 s.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,7 +17,7 @@
 import { createGatewayMetrics } from './gateway-metrics';
 import { HeaderCodec } from './header-codec';
 import type { HeaderNames } from './header-codec';
-import { KeyFreshness } from './key-freshness';
+import { KEY_WATCH_WAIT_MS, KeyFreshness } from './key-freshness';
 import { KindWatcher } from './kind-watcher';
 import { LoadExchange } from './load-exchange';
 import type { PeerAddress } from './load-exchange';
@@ -266,6 +266,7 @@
       new KindWatcher({
         ...shared,
         kind: decoders.bundleKind,
+        waitMs: KEY_WATCH_WAIT_MS,
         onListing: ({ objects }) => {
           for (const object of objects) this.#applyBundle(object);
         },
--- a/packages/gateway/src/key-freshness.ts
+++ b/packages/gateway/src/key-freshness.ts
@@ -6,6 +6,13 @@
 /** Time for a request to get from the check to its server, in milliseconds. */
 const SENDING_MARGIN_MS = 250;
 
+/**
+ * Longest wait of the watch that proves knowledge of keys, in milliseconds. An outage of the store begins with
+ * knowledge up to one wait old, and each wait is a call that is paid for: 1 s lets keys in for at least the first
+ * 2.75 s of an outage when revocations hold after 5 s.
+ */
+export const KEY_WATCH_WAIT_MS = 1_000;
+
 /** Options of `KeyFreshness`; they are read at each use, so that a reload takes effect. */
 export interface KeyFreshnessOptions {
   /** Whether keys must be refused when their revocation cannot be known. */
--- a/packages/gateway/test/fake-store.ts
+++ b/packages/gateway/test/fake-store.ts
@@ -14,6 +14,8 @@
 export class FakeStore implements ObjectStore {
   mode: StoreMode = 'up';
   listCalls = 0;
+  /** Kinds of the watches that began, in order. */
+  readonly watchedKinds: string[] = [];
   private revision = 1;
   private readonly objects = new Map<string, Map<string, StoredObject>>();
   private readonly changes: LoggedChange[] = [];
@@ -26,6 +28,7 @@
 
   async watchObjects(kind: string, afterRevision: number, waitMs: number) {
     const untilMs = performance.now() + waitMs;
+    this.watchedKinds.push(kind);
     for (;;) {
       await this.#waitForAnswer();
       if (this.mode === 'history-lost') {
--- a/packages/gateway/test/instance.test.ts
+++ b/packages/gateway/test/instance.test.ts
@@ -43,6 +43,21 @@
   expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
 });
 
+// Guards against an outage that begins at the end of a long watch, so that keys are refused soon after.
+test('keys are let in for the first 2.5 s of an outage of the store', async () => {
+  await using backend = await startRawBackend(answerOk);
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port)],
+  });
+  const { store } = running;
+  const countWatches = () => store.watchedKinds.filter((kind) => kind === 'bundles').length;
+  await waitUntil(() => countWatches() >= 2);
+  await sleep(2_000);
+  store.mode = 'silent';
+  await sleep(2_500);
+  expect((await sendCall(running.callerPort, '/orders/1')).status).toBe(200);
+});
+
 test('a new version is in force soon and an older one never again', async () => {
   await using backend = await startRawBackend(answerOk);
   await using running = await startTestGateway({
