Fetch cached prompts from the server that has them

Change: PrefixView tells which tokens a server has probably read by now (sent 400 ms ago or more), choosePlacement predicts each server with what it would fetch from the best such source, and the gateway names the source in a header of the forwarded request, and in the log line. Unreachable or failing servers are no source, under 256 tokens are read.

Also: the shares of a server that left are forgotten (removeServer of the load table was never called).

Tests: fetchable parts, choice of the source, prediction, a burst of plans in simulated engines, and the header at a real gateway, which fails without it.

--- a/packages/bench/src/capacity/placement.ts
+++ b/packages/bench/src/capacity/placement.ts
@@ -45,7 +45,7 @@
     const nowMs = instances * 3;
     const candidates = serverIds.map((serverId) => ({
       ...{ serverId, load: loads.getLoad(serverId, nowMs), cachedTokens: 0, slowness: 1 },
-      ...{ failureShare: 0, isAvoided: false },
+      ...{ failureShare: 0, isAvoided: false, fetchableTokens: 0 },
     }));
     const parts = ['system', `subject-${index % 50}`, `own-${index}`].map((id) => ({
       ...{ id, tokens: 400 },
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -94,6 +94,7 @@
       teamName: input.team?.name,
       lastEventId,
       enginePriority: input.route.kind === 'stream' ? input.rank : undefined,
+      cacheSource: choice.cacheSource,
     });
     const attempt = startAttempt(
       connection,
@@ -208,6 +209,7 @@
       serverId: choice.server.serverId,
       predictedMs: Math.round(choice.predictedMs),
       queuedMs: Math.round(choice.queuedMs),
+      ...describeFetch(choice),
       result: 'complete',
       elapsedMs: 0,
     };
@@ -239,6 +241,11 @@
   return services[0]?.service ?? '';
 }
 
+function describeFetch({ placement, cacheSource }: ServerChoice): Partial<AttemptRecord> {
+  if (placement === undefined || cacheSource === undefined) return {};
+  return { cacheSourceId: cacheSource.serverId, fetchedTokens: placement.fetchedTokens };
+}
+
 /** Words for a refusal, for callers and logs. */
 export function describeRefusal(refusal: DispatchRefusal): string {
   switch (refusal.kind) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -374,7 +374,7 @@
   #handleServerChange(change: ServerChange): void {
     const { serverId } = change.server;
     this.options.log.info(`backend server ${change.kind}`, { ...change.server });
-    const { failures, prefixes, backends } = this.context;
+    const { failures, loads, prefixes, backends } = this.context;
     switch (change.kind) {
       case 'added':
         return;
@@ -389,6 +389,7 @@
         failures.removeServer(serverId);
         prefixes.removeServer(serverId);
         this.speeds.removeServer(serverId);
+        loads.removeServer(serverId);
         void backends.removeServer(serverId);
         return;
     }
--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -20,6 +20,8 @@
   /** `id:tokens` for each part of the prompt, separated by commas. */
   promptParts: string;
   enginePriority: string;
+  /** `host:port` of the server from which cached parts of the prompt are to be fetched. */
+  cacheSource: string;
   /** Headers that only the gateway may set; a caller's are dropped. */
   reserved: readonly string[];
 }
@@ -43,6 +45,7 @@
   teamName: string | undefined;
   lastEventId: string | undefined;
   enginePriority: number | undefined;
+  cacheSource: { host: string; port: number } | undefined;
 }
 
 /** How a backend server's answer is to be taken. */
@@ -87,6 +90,7 @@
       names.team,
       names.expectedServer,
       names.enginePriority,
+      names.cacheSource,
       ...names.reserved,
     ];
     this.dropped = new Set([
@@ -128,6 +132,10 @@
       const priority = Math.min(LAST_ENGINE_PRIORITY, Math.max(0, Math.floor(head.enginePriority)));
       headers.push(this.names.enginePriority, String(priority));
     }
+    if (head.cacheSource !== undefined) {
+      const { host, port } = head.cacheSource;
+      headers.push(this.names.cacheSource, `${host}:${port}`);
+    }
     return headers;
   }
 
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -5,6 +5,10 @@
   predictedMs: number;
   /** Prefill time queued at the server when it was chosen, in milliseconds. */
   queuedMs: number;
+  /** Server from which cached tokens were to be fetched; undefined when none. */
+  cacheSourceId?: string;
+  /** Tokens that were to be fetched; undefined when none. */
+  fetchedTokens?: number;
   result: string;
   /** From the send to the first byte, in milliseconds; undefined when none came. */
   firstByteMs?: number;
--- a/packages/gateway/src/server-chooser.ts
+++ b/packages/gateway/src/server-chooser.ts
@@ -32,6 +32,8 @@
   isLong: boolean;
   /** The prediction for a stream; undefined for a plain request. */
   placement: StreamPlacement | undefined;
+  /** Server from which the chosen one fetches cached parts of the prompt. */
+  cacheSource: ListedServer | undefined;
   /** Whether nothing waited at the server, so that the prediction is one of its speed alone. */
   isUnqueued: boolean;
 }
@@ -122,6 +124,7 @@
       serverId,
       load: loads.getLoad(serverId, nowMs),
       cachedTokens: prefixes.countCachedTokens(serverId, head.parts, nowMs),
+      fetchableTokens: prefixes.countFetchableTokens(serverId, head.parts, nowMs),
       slowness: slowness.get(serverId) ?? 1,
       failureShare: failures.getFailureShare(serverId, nowMs),
       isAvoided: failures.isAvoided(serverId, nowMs),
@@ -139,6 +142,7 @@
       isPauseSensitive: isPauseSensitive(streamRequest.pauseTargetMs, options),
       isLong: isLongPrompt(streamRequest, options),
       placement,
+      cacheSource: servers.find(({ serverId }) => serverId === placement.fetchFromId),
       isUnqueued: load.waiting === 0,
     };
   }
@@ -173,6 +177,7 @@
       isPauseSensitive: false,
       isLong: false,
       placement: undefined,
+      cacheSource: undefined,
       isUnqueued: load.waiting === 0,
     };
   }
--- a/packages/gateway/test/gateway-fixture.ts
+++ b/packages/gateway/test/gateway-fixture.ts
@@ -21,6 +21,7 @@
   lengthHint: 'Test-Length',
   promptParts: 'Test-Parts',
   enginePriority: 'Test-Priority',
+  cacheSource: 'Test-Cache-Source',
   reserved: ['Test-Reserved'],
 };
 
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -21,6 +21,8 @@
 const CALLER_PATIENCE_MS = 1_000;
 const CALLERS = 160;
 const CALLER_INTERVAL_MS = 50;
+/** After this time a prompt that was sent counts as read. */
+const LONGER_THAN_READING_MS = 450;
 
 function writeChunk(socket: Socket, text: string): void {
   socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
@@ -239,3 +241,43 @@
   expect(muteCount).toBeGreaterThan(0);
   expect(muteCount).toBeLessThanOrEqual(beforeOverdue + CALLERS / 10);
 });
+
+// Guards against prompts that are read again although another server has them cached, and against callers that
+// name a server to fetch from.
+test('a server is told where to fetch cached parts of a prompt', async () => {
+  const received: { port: number; request: string }[] = [];
+  const createHandler = (getPort: () => number): RawHandler => {
+    return (socket, request) => {
+      received.push({ port: getPort(), request });
+      // The first request waits, so that the next one goes to the other server.
+      if (received.length > 1) streamAll(socket, request);
+    };
+  };
+  await using one = await startRawBackend(createHandler(() => one.port));
+  await using two = await startRawBackend(createHandler(() => two.port));
+  const plan = makeRoute({
+    ...{ name: 'plan', pathPrefix: '/plan/', kind: 'stream', targetLatencyMs: 400 },
+    services: [{ service: 'engines', weight: 1 }],
+  });
+  await using running = await startTestGateway({
+    bundle: makeBundle({ routes: [plan] }),
+    servers: [makeServer('one', 'engines', one.port), makeServer('two', 'engines', two.port)],
+  });
+  const send = (own: string, leaveAfter?: Promise<void>) =>
+    sendCall(running.callerPort, '/plan/1', {
+      headers: {
+        'Test-Tokens': '6000,100',
+        'Test-Parts': `shared:5000,${own}:1000`,
+        'Test-Cache-Source': '127.0.0.9:9',
+      },
+      ...(leaveAfter === undefined ? {} : { leaveAfter }),
+    });
+  const waiting = send('first', sleep(LONGER_THAN_READING_MS + 200));
+  await sleep(LONGER_THAN_READING_MS);
+  expect((await send('second')).status).toBe(200);
+  await waiting;
+  const [first, second] = received;
+  expect(first?.request).not.toContain('Test-Cache-Source');
+  expect(second?.port).not.toBe(first?.port);
+  expect(second?.request).toContain(`Test-Cache-Source: 127.0.0.1:${first?.port}\r\n`);
+});
--- a/packages/policy/src/placement/prefix-view.ts
+++ b/packages/policy/src/placement/prefix-view.ts
@@ -9,8 +9,12 @@
 /** Memory that cached prompts keep however much running requests hold, as a share of all. */
 const LEAST_CACHE_SHARE = 0.2;
 
+/** Time after which a prompt that was sent to an engine has probably been read, in milliseconds. */
+const READ_AFTER_MS = 400;
+
 interface CachedPart {
   tokens: number;
+  firstSentAtMs: number;
   lastUsedAtMs: number;
 }
 
@@ -28,8 +32,11 @@
     const cached = this.servers.get(serverId) ?? new Map<string, CachedPart>();
     this.servers.set(serverId, cached);
     for (const part of parts) {
+      const known = cached.get(part.id);
+      const isKept = known !== undefined && nowMs - known.lastUsedAtMs <= CACHED_FOR_MS;
       cached.delete(part.id);
-      cached.set(part.id, { tokens: part.tokens, lastUsedAtMs: nowMs });
+      const firstSentAtMs = isKept ? known.firstSentAtMs : nowMs;
+      cached.set(part.id, { tokens: part.tokens, firstSentAtMs, lastUsedAtMs: nowMs });
     }
     const freeTokens = memory.kvTokens - memory.heldTokens;
     evictOldest(cached, Math.max(freeTokens, memory.kvTokens * LEAST_CACHE_SHARE), nowMs);
@@ -37,12 +44,30 @@
 
   /** Tokens at the start of the prompt that the engine probably does not read again. */
   countCachedTokens(serverId: string, parts: readonly PromptPart[], nowMs: number): number {
+    return this.#countTokens(serverId, parts, (part) => nowMs - part.lastUsedAtMs <= CACHED_FOR_MS);
+  }
+
+  /** Of these tokens, the ones that the engine has probably read by now, so that others can fetch them from it. */
+  countFetchableTokens(serverId: string, parts: readonly PromptPart[], nowMs: number): number {
+    return this.#countTokens(
+      serverId,
+      parts,
+      (part) =>
+        nowMs - part.lastUsedAtMs <= CACHED_FOR_MS && nowMs - part.firstSentAtMs >= READ_AFTER_MS,
+    );
+  }
+
+  #countTokens(
+    serverId: string,
+    parts: readonly PromptPart[],
+    isCounted: (part: CachedPart) => boolean,
+  ): number {
     const cached = this.servers.get(serverId);
     if (cached === undefined) return 0;
     let tokens = 0;
     for (const part of parts) {
       const known = cached.get(part.id);
-      if (known === undefined || nowMs - known.lastUsedAtMs > CACHED_FOR_MS) return tokens;
+      if (known === undefined || !isCounted(known)) return tokens;
       tokens += part.tokens;
     }
     return tokens;
--- a/packages/policy/src/placement/stream-admission.ts
+++ b/packages/policy/src/placement/stream-admission.ts
@@ -38,7 +38,7 @@
 /** Decides whether a stream is sent to its best placement or told to come back. `random` is in 0 to 1. */
 export function chooseAdmission(
   request: AdmissionRequest,
-  placement: StreamPlacement,
+  placement: Pick<StreamPlacement, 'prefillMs' | 'firstEventMs' | 'completionMs'>,
   random: number,
 ): Admission {
   const limitMs = computeFirstEventLimitMs(request);
--- a/packages/policy/src/placement/stream-placement.ts
+++ b/packages/policy/src/placement/stream-placement.ts
@@ -24,6 +24,8 @@
   serverId: string;
   load: ServerLoad;
   cachedTokens: number;
+  /** Tokens at the start of the prompt that other servers can fetch from this one. */
+  fetchableTokens: number;
   /** Observed time of its prefills divided by the profile's, 1 for a server as fast as the profile. */
   slowness: number;
   failureShare: number;
@@ -34,6 +36,10 @@
   serverId: string;
   /** Predicted time of this request's prefill, in milliseconds. */
   prefillMs: number;
+  /** Server from which the chosen one should fetch cached tokens; undefined when it reads all others itself. */
+  fetchFromId: string | undefined;
+  /** Tokens that are fetched, 0 without a source. */
+  fetchedTokens: number;
   /** Predicted time to the first event, in milliseconds. */
   firstEventMs: number;
   /** Predicted time to the end of the answer, in milliseconds. */
@@ -67,6 +73,15 @@
 /** Cost of reading tokens again that another server has cached, for each `REREAD_SCALE_TOKENS`. */
 const REREAD_WEIGHT = 0.12;
 const REREAD_SCALE_TOKENS = 1_000;
+/** Cost of fetching tokens from another server in place of reading them, for each `REREAD_SCALE_TOKENS`. */
+const FETCH_WEIGHT = 0.01;
+/** Fewer tokens are read as fast as they are fetched. */
+const LEAST_FETCHED_TOKENS = 256;
+/** Time of a fetch over a link of some 100 GB/s: a fixed part and one for each thousand tokens, in milliseconds. */
+const FETCH_SETUP_MS = 3;
+const FETCH_MS_PER_THOUSAND = 2;
+/** A server that fails more requests than this is not fetched from. */
+const MAX_SOURCE_FAILURE_SHARE = 0.2;
 /** Prefill time that these weights are for, in milliseconds. */
 const WORK_SCALE_MS = 500;
 /** Spreads streams over servers that are otherwise alike. */
@@ -105,18 +120,21 @@
   const exposureWeight = isSensitive ? EXPOSURE_WEIGHT : 0;
   const workCostPerMs = computeWorkCost(candidates);
   const mostCachedTokens = Math.max(0, ...candidates.map(({ cachedTokens }) => cachedTokens));
+  const source = chooseFetchSource(candidates);
   let best: StreamPlacement | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
     const isAffine = candidate.serverId === affinityId;
-    const placement = estimatePlacement(request, candidate, options);
+    const placement = estimatePlacement(request, candidate, source, options);
+    const rereadTokens = mostCachedTokens - candidate.cachedTokens - placement.fetchedTokens;
     const cost =
       computeOwnCost(request, placement) +
       computeHarm(request, candidate, placement.prefillMs, options) +
       exposureWeight * computeExposure(candidate.load) +
       computeCongestion(request, candidate.load, options.profile) +
       workCostPerMs * placement.prefillMs +
-      REREAD_WEIGHT * ((mostCachedTokens - candidate.cachedTokens) / REREAD_SCALE_TOKENS) +
+      (REREAD_WEIGHT * Math.max(0, rereadTokens) + FETCH_WEIGHT * placement.fetchedTokens) /
+        REREAD_SCALE_TOKENS +
       FAILURE_WEIGHT * candidate.failureShare +
       (candidate.isAvoided ? AVOIDED_WEIGHT : 0) +
       (homes.has(candidate.serverId) ? 0 : HOME_WEIGHT) -
@@ -139,17 +157,37 @@
 function estimatePlacement(
   request: StreamRequest,
   candidate: StreamCandidate,
+  source: StreamCandidate | undefined,
   { profile, firstEventOverheadMs }: PlacementOptions,
 ): StreamPlacement {
   const { load, slowness, serverId, cachedTokens } = candidate;
-  const prefillMs = slowness * estimatePrefillMs(profile, request.promptTokens, cachedTokens);
+  const missingTokens = source === undefined ? 0 : source.fetchableTokens - cachedTokens;
+  const fetchedTokens = missingTokens >= LEAST_FETCHED_TOKENS ? missingTokens : 0;
+  const fetchMs =
+    fetchedTokens === 0
+      ? 0
+      : FETCH_SETUP_MS + (FETCH_MS_PER_THOUSAND * fetchedTokens) / REREAD_SCALE_TOKENS;
+  const keptTokens = cachedTokens + fetchedTokens;
+  const prefillMs = slowness * estimatePrefillMs(profile, request.promptTokens, keptTokens);
   const waitMs =
     load.queuedPrefillMs + Math.max(0, load.overdueMs) + estimateSlotWaitMs(load, profile);
   const stepMs = slowness * estimateStepMs(profile, load.streaming, load.heldTokens);
-  const firstEventMs = waitMs + prefillMs + firstEventOverheadMs + profile.tokensPerEvent * stepMs;
+  const decodeMs = profile.tokensPerEvent * stepMs;
+  const firstEventMs = waitMs + fetchMs + prefillMs + firstEventOverheadMs + decodeMs;
   const decodeShare = Math.max(LEAST_DECODE_SHARE, 1 - load.shortShare - load.longShare);
   const completionMs = firstEventMs + (request.outputTokens * stepMs) / decodeShare;
-  return { serverId, prefillMs, firstEventMs, completionMs };
+  const fetchFromId = fetchedTokens > 0 ? source?.serverId : undefined;
+  return { serverId, prefillMs, fetchFromId, fetchedTokens, firstEventMs, completionMs };
+}
+
+/** Server with the longest cached start of the prompt that others can fetch. */
+function chooseFetchSource(candidates: readonly StreamCandidate[]): StreamCandidate | undefined {
+  let best: StreamCandidate | undefined;
+  for (const candidate of candidates) {
+    if (candidate.isAvoided || candidate.failureShare > MAX_SOURCE_FAILURE_SHARE) continue;
+    if (candidate.fetchableTokens > (best?.fetchableTokens ?? 0)) best = candidate;
+  }
+  return best;
 }
 
 function estimateSlotWaitMs(load: ServerLoad, profile: EngineProfile): number {
--- a/packages/policy/test/placement/load-patterns.test.ts
+++ b/packages/policy/test/placement/load-patterns.test.ts
@@ -104,12 +104,15 @@
   private nowMs = 0;
   private nextId = 0;
   /** Prediction for the request that is being placed. */
-  private expected = { prefillMs: 0, firstEventMs: 0 };
+  private expected = { prefillMs: 0, firstEventMs: 0, fetchedTokens: 0 };
+  /** Prompt tokens that the engines read. */
+  readTokens = 0;
 
   constructor(
     private readonly pattern: Pattern,
     private readonly isBaseline: boolean,
     seed: number,
+    private readonly canFetch = false,
   ) {
     this.random = mersenne(seed);
     this.options = {
@@ -172,6 +175,9 @@
         serverId,
         load: this.loads.getLoad(serverId, this.nowMs),
         cachedTokens: this.prefixes.countCachedTokens(serverId, request.parts, this.nowMs),
+        fetchableTokens: this.canFetch
+          ? this.prefixes.countFetchableTokens(serverId, request.parts, this.nowMs)
+          : 0,
         slowness: slowness.get(serverId) ?? 1,
         failureShare: 0,
         isAvoided: false,
@@ -203,7 +209,10 @@
       expectedFirstByteAtMs: this.nowMs + this.expected.firstEventMs,
       isStreaming: false,
     };
-    const cachedTokens = this.prefixes.countCachedTokens(serverId, request.parts, this.nowMs);
+    const keptTokens =
+      this.prefixes.countCachedTokens(serverId, request.parts, this.nowMs) +
+      this.expected.fetchedTokens;
+    this.readTokens += request.promptTokens - keptTokens;
     this.loads.add(placed, this.nowMs);
     this.prefixes.record(
       serverId,
@@ -212,7 +221,7 @@
       this.nowMs,
     );
     const stream: SimulatedStream = {
-      newPromptTokens: request.promptTokens - cachedTokens,
+      newPromptTokens: request.promptTokens - keptTokens,
       contextTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       arrivedAtMs: this.nowMs,
@@ -268,3 +277,21 @@
   const atRandom = measureOnTime(pattern, true, 1);
   expect(placed.chat).toBeGreaterThan(atRandom.chat);
 });
+
+// Guards against prompts that each engine reads anew, and against copies that crowd out running streams.
+test.each(SEEDS)('a burst of plans with fetched prompts, seed %i: less is read', (seed) => {
+  const pattern: Pattern = {
+    name: 'a burst of plans beside chats',
+    burst: { plan: 2.3 },
+    least: { chat: 0.85, tag: 0.85, plan: 0.5 },
+  };
+  const [without, fetching] = [false, true].map((canFetch) => {
+    const play = new PatternPlay(pattern, false, seed, canFetch);
+    play.run();
+    const plans = play.outcomes.filter(({ kind }) => kind === 'plan');
+    const onTime = plans.filter(({ isOnTime }) => isOnTime).length / plans.length;
+    return { readTokens: play.readTokens / play.outcomes.length, onTime };
+  });
+  expect(fetching?.readTokens).toBeLessThan(without?.readTokens ?? 0);
+  expect(fetching?.onTime).toBeGreaterThan(without?.onTime ?? 1);
+});
--- a/packages/policy/test/placement/placement-fixture.ts
+++ b/packages/policy/test/placement/placement-fixture.ts
@@ -52,6 +52,7 @@
     serverId,
     load: makeLoad(load),
     cachedTokens: 0,
+    fetchableTokens: 0,
     slowness: 1,
     failureShare: 0,
     isAvoided: false,
--- a/packages/policy/test/placement/placement-state.test.ts
+++ b/packages/policy/test/placement/placement-state.test.ts
@@ -123,6 +123,20 @@
   expect(view.countCachedTokens('a', [{ id: 'x', tokens: 500 }], 60_000)).toBe(0);
 });
 
+test.each([
+  { name: 'sent a moment ago', sentAtMs: [900], expected: 0 },
+  { name: 'sent long enough ago to be read', sentAtMs: [0], expected: 500 },
+  // Guards against a hot prompt that is never fetched because it was always used a moment ago.
+  { name: 'sent long ago and used a moment ago', sentAtMs: [0, 990], expected: 500 },
+  { name: 'evicted between two uses', sentAtMs: [-60_000, 900], expected: 0 },
+])('of a part $name, $expected tokens can be fetched', ({ sentAtMs, expected }) => {
+  const view = new PrefixView();
+  const parts = [{ id: 'x', tokens: 500 }];
+  const memory = { kvTokens: 100_000, heldTokens: 0 };
+  for (const atMs of sentAtMs) view.record('a', parts, memory, atMs);
+  expect(view.countFetchableTokens('a', parts, 1_000)).toBe(expected);
+});
+
 interface FailureCase {
   observations: ServerObservation[];
   afterMs: number;
--- a/packages/policy/test/placement/stream-placement.test.ts
+++ b/packages/policy/test/placement/stream-placement.test.ts
@@ -111,6 +111,64 @@
   }
 });
 
+interface FetchCase {
+  name: string;
+  source: Partial<StreamCandidate>;
+  cachedTokens?: number;
+  expected: { fetchFromId: string | undefined; fetchedTokens: number };
+}
+
+const NO_FETCH = { fetchFromId: undefined, fetchedTokens: 0 };
+const fetchCases: FetchCase[] = [
+  {
+    // Guards against a queue at the server that has a prompt cached while others are idle.
+    name: 'cached tokens are fetched from the busy server that has them',
+    source: { cachedTokens: 5_400, fetchableTokens: 5_400 },
+    expected: { fetchFromId: 'busy', fetchedTokens: 5_400 },
+  },
+  {
+    name: 'only what the chosen server lacks is fetched',
+    source: { cachedTokens: 5_400, fetchableTokens: 5_400 },
+    cachedTokens: 500,
+    expected: { fetchFromId: 'busy', fetchedTokens: 4_900 },
+  },
+  {
+    name: 'a few tokens are read rather than fetched',
+    source: { cachedTokens: 200, fetchableTokens: 200 },
+    expected: NO_FETCH,
+  },
+  {
+    // Guards against waiting for a server that does not answer.
+    name: 'nothing is fetched from an unreachable server',
+    source: { cachedTokens: 5_400, fetchableTokens: 5_400, isAvoided: true },
+    expected: NO_FETCH,
+  },
+  {
+    name: 'nothing is fetched from a server that fails its requests',
+    source: { cachedTokens: 5_400, fetchableTokens: 5_400, failureShare: 0.4 },
+    expected: NO_FETCH,
+  },
+];
+
+test.each(fetchCases)('$name', ({ source, cachedTokens = 0, expected }) => {
+  const candidates = [
+    makeCandidate('idle', {}, { cachedTokens }),
+    makeCandidate('busy', { queuedPrefillMs: 3_500, waiting: 20 }, source),
+  ];
+  const placement = choosePlacement(PLAN, candidates, makeOptions());
+  expect(placement).toMatchObject({ serverId: 'idle', ...expected });
+});
+
+test('a fetch is predicted to take less time than reading the prompt', () => {
+  const predict = (fetchableTokens: number) =>
+    choosePlacement(
+      PLAN,
+      [makeCandidate('a'), makeCandidate('b', {}, { isAvoided: false, fetchableTokens })],
+      makeOptions({ border: { resolveShortCount: () => 0 } as never }),
+    )?.firstEventMs ?? 0;
+  expect(predict(5_400)).toBeLessThan(predict(0) - 50);
+});
+
 test('without candidates there is no placement', () => {
   expect(choosePlacement(CHAT, [], makeOptions())).toBeUndefined();
 });
