--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,34 +8,24 @@
   PrefixView,
   SpeedTracker,
 } from '@pollendrum/policy';
-import { formatFinding } from '@pollendrum/protocol';
-import type { GatewaySettings, ParseResult, ReportedPrompt } from '@pollendrum/protocol';
+import type { GatewaySettings, ReportedPrompt } from '@pollendrum/protocol';
 import { BackendPool } from './backend-pool';
-import type { ListedServer, RouteBundle } from './bundle';
+import type { RouteBundle } from './bundle';
 import { createCallerServer } from './caller-server';
 import type { GatewayContext } from './gateway-context';
 import { createGatewayMetrics } from './gateway-metrics';
 import { HeaderCodec } from './header-codec';
 import type { HeaderNames } from './header-codec';
-import { KEY_WATCH_WAIT_MS, KeyFreshness } from './key-freshness';
-import { KindWatcher } from './kind-watcher';
+import { KeyFreshness } from './key-freshness';
 import { LoadExchange } from './load-exchange';
-import type { PeerAddress } from './load-exchange';
 import type { GatewayLog } from './ports';
 import { RouteTable } from './route-table';
 import { ServerChooser } from './server-chooser';
 import { ServerRegistry } from './server-registry';
 import type { ServerChange } from './server-registry';
-import type { ObjectStore, StoredObject } from './store-port';
-
-/** How the platform's objects are read. */
-export interface ObjectDecoders {
-  bundleKind: string;
-  bundleName: string;
-  decodeBundle(spec: unknown): ParseResult<RouteBundle>;
-  serverKind: string;
-  decodeServer(name: string, spec: unknown): ParseResult<ListedServer>;
-}
+import { INSTANCE_KIND, StoreFollowers } from './store-followers';
+import type { ObjectDecoders } from './store-followers';
+import type { ObjectStore } from './store-port';
 
 export interface GatewayOptions {
   settings: GatewaySettings;
@@ -45,8 +35,6 @@
   log: GatewayLog;
 }
 
-/** Kind of the store under which instances announce where they receive load reports. */
-const INSTANCE_KIND = 'instances';
 /** Settings that are read anew at each use. */
 const RELOADABLE = [
   'drainLimitSeconds',
@@ -55,8 +43,6 @@
   'retryRatio',
   'retrySlack',
 ] as const satisfies readonly (keyof GatewaySettings)[];
-/** Wait of the watch for other instances, in milliseconds; late news of one costs only placements. */
-const PEER_WAIT_MS = 15_000;
 /** Pause before an announcement that failed is tried again, in milliseconds. */
 const ANNOUNCE_RETRY_MS = 1_000;
 const DEFAULT_READINESS_PATH = '/readyz';
@@ -78,9 +64,8 @@
   private isStopping = false;
   private readonly context: GatewayContext;
   private readonly exchange: LoadExchange;
-  private readonly watchers: KindWatcher[];
+  private readonly followers: StoreFollowers;
   private readonly callers: ReturnType<typeof createCallerServer>;
-  private readonly peers = new Map<string, PeerAddress>();
   private readonly speeds = new SpeedTracker();
   private readonly expireTimer: NodeJS.Timeout;
   private readonly servers: Server[] = [];
@@ -94,7 +79,7 @@
     const loads = new LoadTable();
     const prefixes = new PrefixView();
     const failures = new FailureTracker();
-    const instanceCount = () => Math.max(1, this.peers.size);
+    const instanceCount = () => Math.max(1, this.followers.countInstances());
     const { speeds } = this;
     this.context = {
       settings,
@@ -138,7 +123,16 @@
       },
     });
     this.callers = createCallerServer(this.context);
-    this.watchers = this.#createWatchers();
+    this.followers = new StoreFollowers({
+      ...{ store: options.store, decoders: options.decoders, log, clock, registry },
+      freshness: this.context.freshness,
+      onBundle: (bundle, revision) => {
+        this.#applyBundle(bundle, revision);
+      },
+      onInstances: (instances) => {
+        this.exchange.setPeers(instances);
+      },
+    });
     this.expireTimer = setInterval(() => {
       registry.expire(clock());
     }, EXPIRE_INTERVAL_MS);
@@ -155,7 +149,7 @@
     if (settings.metricsAddress !== undefined) {
       await this.#openPort(createMetricsServer(this.context), settings.metricsAddress);
     }
-    for (const watcher of this.watchers) watcher.start();
+    this.followers.start();
     this.#announce().catch((error: unknown) => {
       log.error('announcing the instance failed', { error: String(error) });
     });
@@ -215,7 +209,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.expireTimer);
-    for (const watcher of this.watchers) await watcher[Symbol.asyncDispose]();
+    await this.followers[Symbol.asyncDispose]();
     await this.exchange[Symbol.asyncDispose]();
     await this.context.backends[Symbol.asyncDispose]();
     for (const server of this.servers) {
@@ -253,66 +247,6 @@
     });
   }
 
-  #createWatchers(): KindWatcher[] {
-    const { store, log, decoders } = this.options;
-    const { clock, registry, freshness } = this.context;
-    const shared = { store, log, clock };
-    const applyServer = (object: StoredObject) => {
-      const server = this.#decodeServer(object);
-      if (server === undefined) registry.remove(object.name, clock());
-      else registry.put(server);
-    };
-    return [
-      new KindWatcher({
-        ...shared,
-        kind: decoders.bundleKind,
-        waitMs: KEY_WATCH_WAIT_MS,
-        onListing: ({ objects }) => {
-          for (const object of objects) this.#applyBundle(object);
-        },
-        onChange: (change) => {
-          if (change.kind === 'put') this.#applyBundle(change.object);
-        },
-        onContact: (provenAtMs) => {
-          freshness.recordProof(provenAtMs);
-        },
-      }),
-      new KindWatcher({
-        ...shared,
-        kind: decoders.serverKind,
-        onListing: ({ objects }) => {
-          const servers = objects.map((object) => this.#decodeServer(object));
-          registry.replaceAll(
-            servers.filter((server) => server !== undefined),
-            clock(),
-          );
-        },
-        onChange: (change) => {
-          if (change.kind === 'put') applyServer(change.object);
-          else registry.remove(change.name, clock());
-        },
-        onRegained: () => {
-          registry.startRemovalHold(clock());
-        },
-      }),
-      new KindWatcher({
-        ...shared,
-        kind: INSTANCE_KIND,
-        waitMs: PEER_WAIT_MS,
-        onListing: ({ objects }) => {
-          this.peers.clear();
-          for (const object of objects) this.#putPeer(object);
-          this.exchange.setPeers([...this.peers.values()]);
-        },
-        onChange: (change) => {
-          if (change.kind === 'put') this.#putPeer(change.object);
-          else this.peers.delete(change.name);
-          this.exchange.setPeers([...this.peers.values()]);
-        },
-      }),
-    ];
-  }
-
   #handlePeerPrompt({ serverId, parts }: ReportedPrompt): void {
     const { registry, prefixes, loads, clock } = this.context;
     const serviceName = registry.get(serverId)?.service;
@@ -324,27 +258,8 @@
     prefixes.record(serverId, parts, { kvTokens, heldTokens }, nowMs);
   }
 
-  #putPeer(object: StoredObject): void {
-    const { address, port } = (object.spec ?? {}) as { address?: unknown; port?: unknown };
-    if (typeof address !== 'string' || typeof port !== 'number') {
-      this.options.log.warn('announcement of an instance is not readable', { name: object.name });
-      return;
-    }
-    this.peers.set(object.name, { instanceId: object.name, address, port });
-  }
-
-  #applyBundle(object: StoredObject): void {
-    const { decoders, log } = this.options;
-    if (object.name !== decoders.bundleName) return;
-    const parsed = decoders.decodeBundle(object.spec);
-    if (!parsed.ok) {
-      log.error('configuration is not valid; the one in force stays', {
-        revision: object.revision,
-        findings: parsed.findings.map(formatFinding),
-      });
-      return;
-    }
-    const bundle = parsed.value;
+  #applyBundle(bundle: RouteBundle, revision: number): void {
+    const { log } = this.options;
     if (this.table !== undefined && bundle.version <= this.table.version) {
       if (bundle.version < this.table.version) {
         log.warn('an older configuration is ignored', { version: bundle.version });
@@ -355,22 +270,12 @@
     this.callers.applyLimits(bundle.limits);
     log.info('configuration in force', {
       version: bundle.version,
-      revision: object.revision,
+      revision,
       routes: bundle.routes.length,
       teams: bundle.teams?.length,
     });
   }
 
-  #decodeServer(object: StoredObject): ListedServer | undefined {
-    const parsed = this.options.decoders.decodeServer(object.name, object.spec);
-    if (parsed.ok) return parsed.value;
-    this.options.log.warn('entry of a backend server is not readable', {
-      serverId: object.name,
-      findings: parsed.findings.map(formatFinding),
-    });
-    return undefined;
-  }
-
   #handleServerChange(change: ServerChange): void {
     const { serverId } = change.server;
     this.options.log.info(`backend server ${change.kind}`, { ...change.server });
