Keep one list of the headers that are not passed on

The gateway's header codec and the router's service client listed the same nine headers of RFC 9110; both now use the list of the protocol package. No change of behaviour.

--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -1,4 +1,5 @@
 import type { PromptPart } from '@pollendrum/policy';
+import { HOP_HEADERS } from '@pollendrum/protocol';
 
 /** Names of the headers that carry what the gateway knows about requests and answers. */
 export interface HeaderNames {
@@ -54,17 +55,6 @@
   | { kind: 'foreign'; reason: string }
   | { kind: 'answer'; status: number; isSigned: boolean };
 
-const HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 /** Statuses that tell a caller that its request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/router/src/backend/service-client.ts
+++ b/packages/router/src/backend/service-client.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
+import { HOP_HEADERS } from '@pollendrum/protocol';
 import type { Dispatcher } from 'undici';
 import { BackendCallError, toBackendCallError } from './backend-errors';
 import type { ServerAddress, ServerPools } from './server-pools';
@@ -26,21 +27,8 @@
   isDraining: boolean;
 }
 
-// RFC 9110 section 7.6.1; these describe one connection and are not forwarded.
-const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-  'host',
-  'content-length',
-]);
+/** Headers that the connection to the service sets itself. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set(['expect', 'host', 'content-length']);
 // Bearer keys belong to the router and are not shown to services.
 const OWN_HEADERS: ReadonlySet<string> = new Set([
   'authorization',
@@ -65,7 +53,11 @@
   const connection = String(headers['connection'] ?? '');
   const named = new Set(connection.split(',').map((name) => name.trim().toLowerCase()));
   const kept = Object.entries(headers).filter(
-    ([name, value]) => value !== undefined && !HOP_BY_HOP_HEADERS.has(name) && !named.has(name),
+    ([name, value]) =>
+      value !== undefined &&
+      !HOP_HEADERS.has(name) &&
+      !CONNECTION_HEADERS.has(name) &&
+      !named.has(name),
   );
   return Object.fromEntries(kept) as Record<string, string | string[]>;
 }
