Untie two circles of files and stop the tasks of a failed start

grant-client and held-slot, and instance and instance-status, imported each other for a type.

startInstance left membership, links and the platform client running when the HTTP port was taken. createInstance now closes the tasks it was given when its entry cannot start, and startInstance what it opened itself.

Test: a second start on the same peer port after one that failed; before, it ended in EADDRINUSE.

--- a/packages/router/src/entry/entry-task.ts
+++ b/packages/router/src/entry/entry-task.ts
@@ -48,7 +48,12 @@
 /** Starts the HTTP server towards callers. Rejects when the port cannot be bound. */
 export async function createEntryTask(options: EntryOptions): Promise<EntryTask> {
   const server = new EntryServer(options);
-  await server.start();
+  try {
+    await server.start();
+  } catch (error) {
+    await server[Symbol.asyncDispose]();
+    throw error;
+  }
   return server;
 }
 
--- a/packages/router/src/entry/grant-client.ts
+++ b/packages/router/src/entry/grant-client.ts
@@ -13,6 +13,7 @@
 } from '@pollendrum/protocol';
 import { LRUCache } from 'lru-cache';
 import type { PeerPort, RoutingPort, RoutingView, ShardRoute, Unsubscribe } from '../ports';
+import type { GrantRequest } from './grant-request';
 import { HeldSlot, toHeldGrant } from './held-slot';
 import { OwnerLinks } from './owner-links';
 
@@ -23,27 +24,6 @@
   waitMs: (shardIndex: number) => number,
 ) => ShardRoute | undefined;
 
-/** What a dispatcher needs to know about a request. Times on the clock of `performance.now`. */
-export interface GrantRequest {
-  requestId: string;
-  poolId: string;
-  className: string;
-  tier: number;
-  team: string;
-  fingerprint: string;
-  /** 0 when there is no prompt prefix. */
-  prefixHash: number;
-  promptTokens: number;
-  /** 0 when the caller set no limit. */
-  maxOutputTokens: number;
-  arrivedAtMs: number;
-  expiresAtMs: number;
-  maxQueueMs: number;
-  excludedServerIds: readonly string[];
-  isRetry: boolean;
-  bundleNumber: number;
-}
-
 export type GrantResult =
   | { kind: 'granted'; slot: HeldSlot }
   | { kind: 'rejected'; cause: Cause; retryAfterMs: number }
--- a/packages/router/src/entry/held-slot.ts
+++ b/packages/router/src/entry/held-slot.ts
@@ -1,5 +1,5 @@
 import type { Finish, Grant, HeldGrant } from '@pollendrum/protocol';
-import type { GrantRequest } from './grant-client';
+import type { GrantRequest } from './grant-request';
 
 export interface HeldSlotOptions {
   grant: Grant;
--- a/packages/router/src/entry/slot-source.ts
+++ b/packages/router/src/entry/slot-source.ts
@@ -1,5 +1,6 @@
 import type { Cause } from '@pollendrum/protocol';
-import type { GrantClient, GrantRequest } from './grant-client';
+import type { GrantClient } from './grant-client';
+import type { GrantRequest } from './grant-request';
 import type { HeldSlot } from './held-slot';
 import type { RequestContext } from './request-context';
 
--- a/packages/router/src/instance/instance-status.ts
+++ b/packages/router/src/instance/instance-status.ts
@@ -1,7 +1,7 @@
 import type { Settings } from '@pollendrum/protocol';
 import type { Member, RoutingView } from '../ports';
 import type { TrafficCounts } from '../telemetry/traffic-counter';
-import type { InstanceTasks } from './instance';
+import type { InstanceTasks } from './instance-tasks';
 
 /** Answer of `GET /admin/status`. */
 export interface InstanceStatus {
--- a/packages/router/src/instance/instance.ts
+++ b/packages/router/src/instance/instance.ts
@@ -2,39 +2,11 @@
 import { createEntryTask } from '../entry/entry-task';
 import type { EntryTask } from '../entry/entry-task';
 import type { EntryOptions } from '../entry/entry-options';
-import type {
-  BundlePort,
-  ClaimsPort,
-  MembershipPort,
-  OutcomePort,
-  PeerPort,
-  RoutingPort,
-  TelemetryPort,
-} from '../ports';
-import type { ControlTraffic } from '../telemetry/traffic-counter';
+import type { TelemetryPort } from '../ports';
 import { GracefulShutdown } from './graceful-shutdown';
 import type { ShutdownStep, StepReport } from './graceful-shutdown';
 import { describeInstance } from './instance-status';
-
-/** The dispatcher task as the instance uses it. */
-export interface DispatcherTask extends AsyncDisposable {
-  /** Answers waiting requests `moved` and takes no new ones. */
-  releaseShards(): Promise<void>;
-}
-
-/** The tasks that run besides the entry. */
-export interface InstanceTasks {
-  peers: PeerPort & AsyncDisposable;
-  membership: MembershipPort & AsyncDisposable;
-  routing: RoutingPort & AsyncDisposable;
-  instanceList: AsyncDisposable;
-  bundles: BundlePort & AsyncDisposable;
-  claims: ClaimsPort & AsyncDisposable;
-  outcomes: OutcomePort & AsyncDisposable;
-  dispatcher: DispatcherTask;
-  /** Counters of what membership and links send and receive. */
-  traffic?: ControlTraffic;
-}
+import type { InstanceTasks } from './instance-tasks';
 
 export interface InstanceDependencies {
   telemetry: TelemetryPort;
@@ -66,7 +38,7 @@
  */
 const PENDING_READ_MS = 200;
 
-/** Starts the entry on the given tasks. Rejects when its port cannot be bound. */
+/** Starts the entry on the given tasks. Rejects when its port cannot be bound, and then closes the tasks. */
 export async function createInstance(
   settings: Settings,
   dependencies: InstanceDependencies,
@@ -74,7 +46,7 @@
   const { telemetry, tasks } = dependencies;
   let shutdown: GracefulShutdown | undefined = undefined;
   const isDraining = () => shutdown?.isStarted() ?? false;
-  const entry = await createEntryTask({
+  const entryOptions: EntryOptions = {
     settings,
     telemetry,
     peers: tasks.peers,
@@ -91,6 +63,10 @@
     ...(dependencies.listUnreadyReasons === undefined
       ? {}
       : { listUnreadyReasons: dependencies.listUnreadyReasons }),
+  };
+  const entry = await createEntryTask(entryOptions).catch(async (error: unknown) => {
+    await closeTasks(tasks);
+    throw error;
   });
   const steps = createShutdownSteps(settings, tasks, entry);
   const graceful = new GracefulShutdown(steps, telemetry.log);
@@ -99,7 +75,8 @@
     entry,
     stop: async () => await graceful.run(),
     async [Symbol.asyncDispose]() {
-      await closeTasks(tasks, entry);
+      await entry[Symbol.asyncDispose]();
+      await closeTasks(tasks);
     },
   };
 }
@@ -157,14 +134,14 @@
       name: 'close-tasks',
       limitMs: FLUSH_LIMIT_MS,
       run: async () => {
-        await closeTasks(tasks, entry);
+        await entry[Symbol.asyncDispose]();
+        await closeTasks(tasks);
       },
     },
   ];
 }
 
-async function closeTasks(tasks: InstanceTasks, entry: EntryTask): Promise<void> {
-  await entry[Symbol.asyncDispose]();
+async function closeTasks(tasks: InstanceTasks): Promise<void> {
   const { dispatcher, claims, outcomes, bundles, routing, instanceList, membership, peers } = tasks;
   const inOrder = [dispatcher, claims, outcomes, bundles, routing, instanceList, membership, peers];
   for (const task of inOrder) await task[Symbol.asyncDispose]();
--- a/packages/router/src/instance/start-instance.ts
+++ b/packages/router/src/instance/start-instance.ts
@@ -28,7 +28,8 @@
 import { createTelemetry } from '../telemetry';
 import { TrafficCounter, type ControlTraffic } from '../telemetry/traffic-counter';
 import { createInstance } from './instance';
-import type { Instance, InstanceTasks } from './instance';
+import type { Instance } from './instance';
+import type { InstanceTasks } from './instance-tasks';
 import { KeyFileWatcher } from './key-files';
 
 const DEFAULT_CLAIM_RETENTION_MS = 86_400_000;
@@ -53,32 +54,40 @@
   const client = createPlatformClient({ url: settings.platformUrl });
   const callerKeys = watchKeyFiles(settings, 'callerTls', telemetry);
   const peerKeys = watchKeyFiles(settings, 'peerTls', telemetry);
-  const base = await startPeerTasks(settings, clusterKey, telemetry, peerKeys);
-  const tasks = startTasks(settings, telemetry, client, base);
-  const instance = await createInstance(settings, {
-    telemetry,
-    tasks,
-    clusterKey,
-    hashToUint32,
-    chooseShard: createShardChooser(settings),
-    retryBudget: createEntryRetryBudget(),
-    callerTls: callerKeys?.keys,
-  });
-  callerKeys?.watchKeys((keys) => {
-    instance.entry.updateTls(keys);
-  });
-  return {
-    instance,
-    telemetry,
-    peerPort: base.peers.port,
-    async [Symbol.asyncDispose]() {
-      callerKeys?.[Symbol.dispose]();
-      peerKeys?.[Symbol.dispose]();
-      await instance[Symbol.asyncDispose]();
-      await client[Symbol.asyncDispose]();
-      await telemetry[Symbol.asyncDispose]();
-    },
+  const closeShared = async () => {
+    callerKeys?.[Symbol.dispose]();
+    peerKeys?.[Symbol.dispose]();
+    await client[Symbol.asyncDispose]();
+    await telemetry[Symbol.asyncDispose]();
   };
+  try {
+    const base = await startPeerTasks(settings, clusterKey, telemetry, peerKeys);
+    const tasks = startTasks(settings, telemetry, client, base);
+    const instance = await createInstance(settings, {
+      telemetry,
+      tasks,
+      clusterKey,
+      hashToUint32,
+      chooseShard: createShardChooser(settings),
+      retryBudget: createEntryRetryBudget(),
+      callerTls: callerKeys?.keys,
+    });
+    callerKeys?.watchKeys((keys) => {
+      instance.entry.updateTls(keys);
+    });
+    return {
+      instance,
+      telemetry,
+      peerPort: base.peers.port,
+      async [Symbol.asyncDispose]() {
+        await instance[Symbol.asyncDispose]();
+        await closeShared();
+      },
+    };
+  } catch (error) {
+    await closeShared();
+    throw error;
+  }
 }
 
 interface PeerTasks {
@@ -111,6 +120,9 @@
     },
     tls: keys && toLinkTls(keys.keys),
     traffic: traffic.links,
+  }).catch(async (error: unknown) => {
+    await membership[Symbol.asyncDispose]();
+    throw error;
   });
   keys?.watchKeys((changed) => {
     peers.updateTls(toLinkTls(changed));
