--- a/packages/router/test/instance/start-instance.test.ts
+++ b/packages/router/test/instance/start-instance.test.ts
@@ -4,7 +4,7 @@
 import { expect, test } from 'vitest';
 import { startInstance } from '../../src/instance';
 
-async function listenAnywhere() {
+async function openAnyPort() {
   const server = createServer();
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -13,7 +13,7 @@
 }
 
 async function findFreePort(): Promise<number> {
-  const { server, port } = await listenAnywhere();
+  const { server, port } = await openAnyPort();
   await new Promise((resolve) => server.close(resolve));
   return port;
 }
@@ -37,7 +37,7 @@
 
 // Guards against tasks that go on running, and hold the peer port, after a start that failed.
 test('an instance whose HTTP port is taken stops its tasks', async () => {
-  const { server, port } = await listenAnywhere();
+  const { server, port } = await openAnyPort();
   const peerPort = await findFreePort();
   await expect(startInstance(makeSettings(port, peerPort), 'key')).rejects.toThrow('EADDRINUSE');
   const httpPort = await findFreePort();
