Remove the reading of the list inside a request and its twin

Change: the entry asks the owner named by its view or by the answer, at once if it is another one, else after 200 ms, three times at most.

--- a/packages/bench/src/relay/entry-ports.ts
+++ b/packages/bench/src/relay/entry-ports.ts
@@ -50,7 +50,7 @@
       [Symbol.asyncDispose]: () => Promise.resolve(),
     },
     peers: createGrantingPeer(server),
-    routing: { getView: () => createView(server), watchView: () => discard, refresh: waitNothing },
+    routing: { getView: () => createView(server), watchView: () => discard },
     bundles: { getActive: () => active, watchActive: () => discard },
     claims: {
       claimKey: () => Promise.resolve({ result: 'claimed' as const, elapsedMs: 0 }),
--- a/packages/router/src/control/instance-list-task.ts
+++ b/packages/router/src/control/instance-list-task.ts
@@ -1,4 +1,3 @@
-import { setTimeout as waitFor } from 'node:timers/promises';
 import type { InstanceList } from '@pollendrum/protocol';
 import type { PlatformClient } from '@pollendrum/platform';
 import type { TelemetryPort } from '../ports';
@@ -23,13 +22,8 @@
 export interface InstanceListTask extends AsyncDisposable {
   /** Undefined until the first read succeeded. */
   getList(): InstanceList | undefined;
-  /** Reads the list now; calls within 200 ms share one read. Never throws. */
-  refresh(): Promise<void>;
 }
 
-/** Shortest time between two reads asked for by refresh, in milliseconds. */
-export const REFRESH_INTERVAL_MS = 200;
-
 /** Creates and starts the task. */
 export function createInstanceListTask(options: InstanceListTaskOptions): InstanceListTask {
   const { client, telemetry, listener, confirmListener } = options;
@@ -55,13 +49,9 @@
     },
     pollIntervalMs: options.pollIntervalMs,
   });
-  const refresher = new Refresher(async () => {
-    await watcher.refresh();
-  });
   watcher.start();
   return {
     getList: () => list,
-    refresh: () => refresher.refresh(),
     [Symbol.asyncDispose]: () => watcher[Symbol.asyncDispose](),
   };
 }
@@ -70,26 +60,3 @@
   // Versions start at 0 in an empty list; the watcher takes only versions above 0.
   return { version: list.version + 1, value: list };
 }
-
-/** Shares reads so that at most one starts per interval. */
-class Refresher {
-  #waiting: Promise<void> | undefined;
-  #lastStart = Number.NEGATIVE_INFINITY;
-
-  constructor(private readonly runRead: () => Promise<void>) {}
-
-  /** The read that answers the call starts after the call. */
-  refresh(): Promise<void> {
-    this.#waiting ??= this.#runNext();
-    return this.#waiting;
-  }
-
-  async #runNext(): Promise<void> {
-    const delayMs = this.#lastStart + REFRESH_INTERVAL_MS - performance.now();
-    if (delayMs > 0) await waitFor(Math.ceil(delayMs));
-    else await Promise.resolve();
-    this.#waiting = undefined;
-    this.#lastStart = performance.now();
-    await this.runRead();
-  }
-}
--- a/packages/router/src/entry/grant-client.ts
+++ b/packages/router/src/entry/grant-client.ts
@@ -43,8 +43,8 @@
   route: ShardRoute;
   ownerId: string | undefined;
   enqueuedAtMs: number;
-  refreshes: number;
-  isRefreshing: boolean;
+  repeats: number;
+  isRepeating: boolean;
   timer: NodeJS.Timeout | undefined;
   settle(result: GrantResult): void;
 }
@@ -56,8 +56,8 @@
   fingerprint: string;
 }
 
-const MAX_REFRESHES = 3;
-const REFRESH_DELAY_MS = 200;
+const MAX_REPEATS = 3;
+const REPEAT_DELAY_MS = 200;
 const RETRY_AFTER_MS = 1_000;
 // The dispatcher enforces the queue time; the entry gives up later, when no decision came at all.
 const DECISION_MARGIN_MS = 2_000;
@@ -152,8 +152,8 @@
         route,
         ownerId: undefined,
         enqueuedAtMs: nowMs,
-        refreshes: 0,
-        isRefreshing: false,
+        repeats: 0,
+        isRepeating: false,
         timer: undefined,
         settle: (result) => {
           signal.removeEventListener('abort', handleAbort);
@@ -181,7 +181,7 @@
     const { request, route, attemptId } = waiting;
     this.#setOwner(waiting, ownerId);
     if (ownerId === undefined) {
-      void this.#refreshAndEnqueue(waiting, undefined);
+      void this.#requestAgain(waiting, undefined);
       return;
     }
     const nowMs = performance.now();
@@ -212,41 +212,40 @@
       bundleNumber: request.bundleNumber,
     };
     if (this.#options.peers.sendMessage(ownerId, message)) return;
-    void this.#refreshAndEnqueue(waiting, undefined);
+    void this.#requestAgain(waiting, undefined);
   }
 
-  /** Reads the routing again and asks the owner it shows, or the one named in a not-owner answer. */
-  async #refreshAndEnqueue(waiting: Waiting, answer: NotOwner | undefined): Promise<void> {
-    if (waiting.isRefreshing) return;
-    if (waiting.refreshes >= MAX_REFRESHES) {
+  /** Asks the owner that the routing shows by now, or the one named in a not-owner answer; else after a pause. */
+  async #requestAgain(waiting: Waiting, answer: NotOwner | undefined): Promise<void> {
+    if (waiting.isRepeating) return;
+    if (waiting.repeats >= MAX_REPEATS) {
       this.#rejectWithoutOwner(waiting);
       return;
     }
-    waiting.refreshes += 1;
-    waiting.isRefreshing = true;
+    waiting.repeats += 1;
+    waiting.isRepeating = true;
     const askedOwnerId = waiting.ownerId;
-    const versionBefore = this.#options.routing.getView().version;
-    await this.#options.routing.refresh().catch(() => undefined);
-    const ownerId = this.#resolveOwner(waiting, askedOwnerId, answer, versionBefore);
-    if (ownerId === undefined || ownerId === askedOwnerId) await waitMs(REFRESH_DELAY_MS);
-    waiting.isRefreshing = false;
+    let ownerId = this.#resolveOwner(waiting, askedOwnerId, answer);
+    if (ownerId === undefined) {
+      await waitMs(REPEAT_DELAY_MS);
+      ownerId = this.#resolveOwner(waiting, askedOwnerId, undefined);
+    }
+    waiting.isRepeating = false;
     if (!this.#waiting.has(waiting.attemptId)) return;
     this.#sendEnqueue(waiting, ownerId ?? waiting.route.ownerInstanceId);
   }
 
+  /** Another owner than the one that was asked, undefined when none is known. */
   #resolveOwner(
     waiting: Waiting,
     askedOwnerId: string | undefined,
     answer: NotOwner | undefined,
-    versionBefore: number,
   ): string | undefined {
     this.#updateRoute(waiting);
     const viewOwnerId = waiting.route.ownerInstanceId;
-    const hasLearned = this.#options.routing.getView().version > versionBefore;
     if (viewOwnerId !== undefined && viewOwnerId !== askedOwnerId) return viewOwnerId;
     const named = answer?.ownerInstanceId ?? '';
-    if (named !== '' && named !== askedOwnerId) return named;
-    return hasLearned ? viewOwnerId : undefined;
+    return named !== '' && named !== askedOwnerId ? named : undefined;
   }
 
   #updateRoute(waiting: Waiting): void {
@@ -374,13 +373,13 @@
     const waiting = this.#waiting.get(message.attemptId);
     if (waiting?.ownerId !== instanceId) return;
     const answer = 'ownerInstanceId' in message ? message : undefined;
-    void this.#refreshAndEnqueue(waiting, answer);
+    void this.#requestAgain(waiting, answer);
   }
 
   /** Announces everything that was told to a lost dispatcher to the current owner. */
   #handleLost(instanceId: string): void {
     for (const waiting of [...this.#waiting.values()]) {
-      if (waiting.ownerId !== instanceId || waiting.isRefreshing) continue;
+      if (waiting.ownerId !== instanceId || waiting.isRepeating) continue;
       this.#updateRoute(waiting);
       this.#sendEnqueue(waiting, waiting.route.ownerInstanceId);
     }
@@ -390,7 +389,7 @@
 
   #handleView(view: RoutingView): void {
     for (const waiting of [...this.#waiting.values()]) {
-      if (waiting.isRefreshing) continue;
+      if (waiting.isRepeating) continue;
       const shownBefore = waiting.route.ownerInstanceId;
       this.#updateRoute(waiting);
       const ownerId = waiting.route.ownerInstanceId;
--- a/packages/router/src/instance/start-instance.ts
+++ b/packages/router/src/instance/start-instance.ts
@@ -139,8 +139,7 @@
   const { log, metrics } = telemetry;
   const { instanceId } = settings;
   const routing = createRoutingTask({
-    ...{ instanceId, membership, log, chooseOwner, resolveShardCount, computeShardIndex },
-    fetchList: async () => (await client.getInstances()).instances,
+    ...{ instanceId, membership, chooseOwner, resolveShardCount, computeShardIndex },
   });
   const instanceList = startListTask(client, telemetry, routing);
   const shared = { client, membership, peer: peers, telemetry };
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -93,8 +93,6 @@
 export interface RoutingPort {
   getView(): RoutingView;
   watchView(listener: (view: RoutingView) => void): Unsubscribe;
-  /** Reads the platform's list at once, at most once per 200 ms. */
-  refresh(): Promise<void>;
 }
 
 /** The bundle in force, indexed. */
--- a/packages/router/src/routing/routing-task.ts
+++ b/packages/router/src/routing/routing-task.ts
@@ -1,21 +1,10 @@
 import type { ListedInstance } from '@pollendrum/protocol';
-import type { LogPort, MembershipPort, RoutingPort, RoutingView, Unsubscribe } from '../ports';
+import type { MembershipPort, RoutingPort, RoutingView, Unsubscribe } from '../ports';
 import { buildRoutingView, type RoutingPolicy } from './routing-view';
 
-/** Shortest time between two readings of the list that `refresh` starts. */
-export const REFRESH_INTERVAL_MS = 200;
-
 export interface RoutingTaskOptions extends RoutingPolicy {
   instanceId: string;
   membership: Pick<MembershipPort, 'getView' | 'watchView' | 'mergeList'>;
-  /** Reads the platform's list. */
-  fetchList: () => Promise<readonly ListedInstance[]>;
-  log: LogPort;
-  /**
-   * Monotonic clock in milliseconds.
-   * @default performance.now
-   */
-  getNowMs?: () => number;
 }
 
 export interface RoutingTask extends RoutingPort, Disposable {
@@ -34,8 +23,6 @@
   readonly #stopWatching: Unsubscribe;
   #list: readonly ListedInstance[] = [];
   #view: RoutingView;
-  #refresh: Promise<void> | undefined;
-  #refreshedAtMs = -Infinity;
 
   constructor(options: RoutingTaskOptions) {
     this.#options = options;
@@ -63,35 +50,11 @@
     if (isChanged) this.#updateView();
   }
 
-  /** Never throws: without the platform the last list stays in use. */
-  refresh(): Promise<void> {
-    const nowMs = this.#getNowMs();
-    if (this.#refresh !== undefined) return this.#refresh;
-    if (nowMs - this.#refreshedAtMs < REFRESH_INTERVAL_MS) return Promise.resolve();
-    this.#refreshedAtMs = nowMs;
-    this.#refresh = this.#fetchList().finally(() => {
-      this.#refresh = undefined;
-    });
-    return this.#refresh;
-  }
-
   [Symbol.dispose](): void {
     this.#stopWatching();
     this.#listeners.clear();
   }
 
-  async #fetchList(): Promise<void> {
-    try {
-      this.updateList(await this.#options.fetchList());
-    } catch (error) {
-      this.#options.log.warn(`reading the instance list failed: ${String(error)}`);
-    }
-  }
-
-  #getNowMs(): number {
-    return this.#options.getNowMs?.() ?? performance.now();
-  }
-
   #updateView(): void {
     this.#view = this.#buildView(this.#view.version + 1);
     for (const listener of this.#listeners) listener(this.#view);
