Record a body that the parser refuses as a bad request

A chunked body that Node's parser refuses was answered with 400 but recorded as cancelled by its caller, so explain blamed the caller's connection. The parser's finding is kept with the connection and becomes the cause; the body reader knew only that the request closed.

Test: a bad chunk at a running entry; before, the record said cancelled, caller-disconnected.

--- a/packages/router/src/entry/body-reader.ts
+++ b/packages/router/src/entry/body-reader.ts
@@ -1,11 +1,15 @@
+import type { Finding } from '@pollendrum/protocol';
 import type { RequestContext } from './request-context';
 import { RequestError } from './request-context';
 
 /**
  * Reads a request body. Throws RequestError when it is larger than the limit or when the caller sends
- * nothing for the idle timeout.
+ * nothing for the idle timeout, and when the parser refused what arrived, which `getParserFinding` tells.
  */
-export async function readBody(context: RequestContext): Promise<Buffer> {
+export async function readBody(
+  context: RequestContext,
+  getParserFinding: () => Finding | undefined,
+): Promise<Buffer> {
   const { request, limits } = context;
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   if (declaredBytes > limits.maxBodyBytes) throw createTooLarge(limits.maxBodyBytes);
@@ -45,7 +49,8 @@
     };
     const handleClose = () => {
       settle(() => {
-        reject(createCancelled(context));
+        const finding = getParserFinding();
+        reject(finding === undefined ? createCancelled(context) : createUnreadable(finding));
       });
     };
     request.on('data', handleData);
@@ -59,6 +64,10 @@
   return new RequestError('not-run', { kind: 'body-too-large', limitBytes });
 }
 
+function createUnreadable(finding: Finding): RequestError {
+  return new RequestError('not-run', { kind: 'bad-request', findings: [finding] });
+}
+
 function createCancelled(context: RequestContext): RequestError {
   const stalledMs = context.limits.callerIdleTimeoutMs;
   return new RequestError('cancelled', context.buildCallerCause(stalledMs));
--- a/packages/router/src/entry/entry-task.ts
+++ b/packages/router/src/entry/entry-task.ts
@@ -236,7 +236,7 @@
     const caller = resolveCaller(active, context.request.headers);
     context.startDeadline(caller.serviceClass.maxTotalMs);
     const startedAtMs = performance.now();
-    const parsed = parseChatRequest(await readBody(context));
+    const parsed = parseChatRequest(await this.#readBody(context));
     context.lifecycle.recordHop('receive', startedAtMs);
     if (!parsed.ok) {
       throw new RequestError('not-run', { kind: 'bad-request', findings: parsed.findings });
@@ -252,6 +252,11 @@
     await new ChatFlow(context, caller, chat, services, model.pool).run();
   }
 
+  async #readBody(context: RequestContext): Promise<Buffer> {
+    const { socket } = context.request;
+    return await readBody(context, () => this.#parserErrors.getFinding(socket));
+  }
+
   async #sendModels(context: RequestContext, active: ActiveBundle): Promise<void> {
     findTeam(active, context.request.headers);
     const data = active.bundle.models.map(({ name }) => ({
@@ -290,7 +295,7 @@
       throw new RequestError('not-run', { kind: 'unknown-service', service: name });
     }
     const startedAtMs = performance.now();
-    const body = await readBody(context);
+    const body = await this.#readBody(context);
     context.lifecycle.recordHop('receive', startedAtMs);
     const services = { grants: this.#grants, client: this.#services };
     await new ServiceFlow(context, caller, path, route, body, services, service.pool).run();
--- a/packages/router/src/entry/parser-errors.ts
+++ b/packages/router/src/entry/parser-errors.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Finding } from '@pollendrum/protocol';
 
 /** An error of Node's HTTP parser or of the TLS handshake. */
 export type ClientError = Error & { code?: string };
@@ -8,6 +9,7 @@
 /** Answers requests that Node's parser refused, when the answer cannot be taken for that of another request. */
 export class ParserErrorReplies {
   readonly #responses = new WeakMap<Socket, Set<ServerResponse>>();
+  readonly #findings = new WeakMap<Socket, Finding>();
 
   /** Remembers a request until its response is closed. */
   observeRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -17,17 +19,26 @@
     response.once('close', () => open.delete(response));
   }
 
+  /** Why the parser refused what arrived on the connection; undefined when it did not. */
+  getFinding(socket: Socket): Finding | undefined {
+    return this.#findings.get(socket);
+  }
+
   /** Answers and closes the connection, or only closes it. */
   sendError(error: ClientError, socket: Socket): void {
     // Only the parser's errors have a caller that can read an answer; a failed TLS handshake has none.
     const isParserError = /^(HPE_|ERR_HTTP_)/.test(error.code ?? '');
+    const finding: Finding = { pointer: '', message: error.message, source: 'request' };
+    if (isParserError) this.#findings.set(socket, finding);
     const open = [...(this.#responses.get(socket) ?? [])];
     if (!isParserError || !socket.writable || !isAnswerable(open)) {
       socket.destroy();
       return;
     }
     const requestId = open[0]?.getHeader('x-request-id');
-    socket.end(renderAnswer(error, typeof requestId === 'string' ? requestId : randomUUID()));
+    socket.end(
+      renderAnswer(error, finding, typeof requestId === 'string' ? requestId : randomUUID()),
+    );
   }
 }
 
@@ -37,8 +48,7 @@
   return open.length <= 1 && open.every(({ headersSent, req }) => !headersSent && !req.complete);
 }
 
-function renderAnswer(error: ClientError, requestId: string): string {
-  const finding = { pointer: '', message: error.message, source: 'request' };
+function renderAnswer(error: ClientError, finding: Finding, requestId: string): string {
   const body = JSON.stringify({
     error: {
       code: 'bad_request',
--- a/packages/router/test/entry/limits.test.ts
+++ b/packages/router/test/entry/limits.test.ts
@@ -230,3 +230,15 @@
     .poll(async () => await sendRaw(port, [buildHead('GET', '/livez')]))
     .toContain('200 OK');
 });
+
+// Guards against a refused body that looks as if its caller had left.
+test('a body that the parser refuses is recorded as a bad request', async () => {
+  const count = harness.outcomes.records.length;
+  const head = `POST /v1/chat/completions HTTP/1.1\r\n${HOST}${AUTH}`;
+  await sendRaw(harness.entry.port, [
+    `${head}X-Request-Id: refused-1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n`,
+  ]);
+  await waitUntil(() => harness.outcomes.records.length > count);
+  const record = harness.outcomes.records.find(({ requestId }) => requestId === 'refused-1');
+  expect(record).toMatchObject({ outcome: 'not-run', status: 400, cause: { kind: 'bad-request' } });
+});
