Judge the end of an attempt in one place

Whether a request has run, may have run or was answered with proof was decided twice, in plain-flow and in stream-attempt, with the same order of checks and the same reasons. judgeEnd decides it for both; each flow keeps what it does with the result, and which failures it counts.

--- a/packages/gateway/src/plain-flow.ts
+++ b/packages/gateway/src/plain-flow.ts
@@ -1,8 +1,8 @@
 import type { AttemptAnswer, AttemptEnd, RunningAttempt } from './backend-attempt';
 import { describeRefusal, RequestDispatcher } from './dispatcher';
-import { isNotRunStatus } from './header-codec';
 import type { Dispatch } from './dispatcher';
 import type { Exchange, WholeAnswer } from './exchange';
+import { judgeEnd } from './judged-end';
 import { runRequestLoop } from './request-loop';
 
 /** A caller that was refused for lack of a server may come back after this time, in milliseconds. */
@@ -175,33 +175,25 @@
   ): AttemptVerdict {
     const { context, input } = this.exchange;
     const { serverId } = dispatch.choice.server;
-    const nowMs = context.clock();
-    switch (end.kind) {
-      case 'not-sent':
-        context.failures.observe(serverId, 'unreachable', nowMs);
-        return { kind: 'not-run', reason: end.reason };
-      case 'broken':
-        return { kind: 'may-have-run', reason: end.reason };
-      case 'complete':
-        break;
-    }
-    if (answer === undefined) return { kind: 'may-have-run', reason: 'an answer without a head' };
-    const head = context.codec.decodeAnswer(answer.status, answer.headers, input.head.attemptId);
-    dispatch.record.result = head.kind;
-    switch (head.kind) {
+    const head =
+      end.kind === 'complete' && answer !== undefined
+        ? context.codec.decodeAnswer(answer.status, answer.headers, input.head.attemptId)
+        : undefined;
+    if (head !== undefined) dispatch.record.result = head.kind;
+    const judged = judgeEnd(end, answer, head);
+    switch (judged.kind) {
       case 'not-run':
-        context.failures.observe(serverId, 'full', nowMs);
-        return { kind: 'not-run', reason: `the server refused with ${head.status}` };
-      case 'foreign':
-        return { kind: 'may-have-run', reason: head.reason };
-      case 'answer':
+        context.failures.observe(serverId, judged.observation, context.clock());
+        return { kind: 'not-run', reason: judged.reason };
+      case 'may-have-run':
+      case 'unproven':
+        return { kind: 'may-have-run', reason: judged.reason };
+      case 'proven':
         break;
     }
-    if (!head.isSigned || isNotRunStatus(head.status)) {
-      return { kind: 'may-have-run', reason: `the server answered ${head.status} without proof` };
-    }
-    if (head.status < FIRST_SERVER_ERROR) return { kind: 'answer', whole: { answer, body } };
-    context.failures.observe(serverId, 'error', nowMs);
-    return { kind: 'server-error', whole: { answer, body } };
+    const whole = { answer: judged.answer, body };
+    if (judged.answer.status < FIRST_SERVER_ERROR) return { kind: 'answer', whole };
+    context.failures.observe(serverId, 'error', context.clock());
+    return { kind: 'server-error', whole };
   }
 }
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -5,7 +5,7 @@
 import type { SplitEvents } from './event-splitter';
 import type { Exchange } from './exchange';
 import type { AnswerHead } from './header-codec';
-import { isNotRunStatus } from './header-codec';
+import { judgeEnd } from './judged-end';
 
 const OK = 200;
 
@@ -57,7 +57,7 @@
         },
         onData: (chunk) => this.#handleData(chunk),
         onEnd: (end) => {
-          this.#settle(this.#judgeEnd(end));
+          this.#settle(this.#resolveVerdict(end));
         },
       });
       this.#startSilenceTimer(computeOverdueMs(dispatch.choice.predictedMs));
@@ -132,44 +132,29 @@
     this.resolveVerdict(this.options.exchange.isEnded() ? { kind: 'ended' } : verdict);
   }
 
-  #judgeEnd(end: AttemptEnd): StreamVerdict {
-    switch (end.kind) {
-      case 'not-sent':
-        return this.#reportNotRun('unreachable', end.reason);
-      case 'broken':
-        return { kind: 'broken', reason: end.reason };
-      case 'complete':
-        return this.#judgeAnswer();
-    }
-  }
-
-  #judgeAnswer(): StreamVerdict {
-    const { answer, head } = this;
-    if (answer === undefined || head === undefined) {
-      return { kind: 'broken', reason: 'an answer without a head' };
-    }
-    switch (head.kind) {
-      case 'foreign':
-        return { kind: 'broken', reason: head.reason };
+  #resolveVerdict(end: AttemptEnd): StreamVerdict {
+    const judged = judgeEnd(end, this.answer, this.head);
+    switch (judged.kind) {
       case 'not-run':
-        return this.#reportNotRun('full', `the server refused with ${head.status}`);
-      case 'answer':
-        break;
+        this.#observe(judged.observation);
+        return { kind: 'not-run', reason: judged.reason };
+      case 'may-have-run':
+        return { kind: 'broken', reason: judged.reason };
+      case 'unproven':
+        this.#observe('error');
+        return { kind: 'broken', reason: judged.reason };
+      case 'proven':
+        return this.#resolveProven(judged.answer);
     }
-    if (this.#isStream()) {
-      if (!this.splitter.hasRest()) return { kind: 'complete' };
-      return { kind: 'broken', reason: 'the stream ended inside an event' };
-    }
-    this.#observe('error');
-    if (!head.isSigned || isNotRunStatus(head.status)) {
-      return { kind: 'broken', reason: `the server answered ${head.status} without proof` };
-    }
-    return { kind: 'other-answer', answer, body: Buffer.concat(this.otherChunks) };
   }
 
-  #reportNotRun(observation: 'unreachable' | 'full', reason: string): StreamVerdict {
-    this.#observe(observation);
-    return { kind: 'not-run', reason };
+  #resolveProven(answer: AttemptAnswer): StreamVerdict {
+    if (!this.#isStream()) {
+      this.#observe('error');
+      return { kind: 'other-answer', answer, body: Buffer.concat(this.otherChunks) };
+    }
+    if (!this.splitter.hasRest()) return { kind: 'complete' };
+    return { kind: 'broken', reason: 'the stream ended inside an event' };
   }
 
   #observe(observation: 'unreachable' | 'full' | 'error'): void {
