Count the bytes of an instance by party

Change: a TrafficMeter counts the bytes of TCP sockets and load reports by party and direction; they are a metric, pollendrum_traffic_bytes_total, and a log line every 5 s. HttpClient takes a callback for opened connections.

--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import { Client } from 'undici';
 import type { buildConnector } from 'undici';
+import type { TrafficMeter } from './traffic-meter';
 
 /** Connect timeout in milliseconds; servers are milliseconds away, so a host that takes longer is unreachable. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -50,6 +51,7 @@
   constructor(
     private readonly origin: string,
     private readonly clock: () => number,
+    private readonly traffic: TrafficMeter,
   ) {}
 
   countConnections(): number {
@@ -109,7 +111,7 @@
     const state: SocketState = { wasReset: false };
     const client = new Client(this.origin, {
       pipelining: 1,
-      connect: createConnector(state),
+      connect: createConnector(state, this.traffic),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -131,9 +133,10 @@
 }
 
 /** Creates a connector that detects resets and has an exact timeout; the connector of undici rounds it to a second. */
-function createConnector(state: SocketState): buildConnector.connector {
+function createConnector(state: SocketState, traffic: TrafficMeter): buildConnector.connector {
   return (options, callback) => {
     const socket = connect({ host: options.hostname, port: Number(options.port), noDelay: true });
+    traffic.addSocket('backend', socket);
     socket.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
     state.wasReset = false;
     let isSettled = false;
--- a/packages/gateway/src/backend-pool.ts
+++ b/packages/gateway/src/backend-pool.ts
@@ -1,6 +1,7 @@
 import { BackendConnections } from './backend-connections';
 import type { LeasedConnection } from './backend-connections';
 import type { BackendServer, Service } from './bundle';
+import type { TrafficMeter } from './traffic-meter';
 
 /** Share of a server's connections that all instances together use; the rest is headroom while their number changes. */
 const CONNECTION_SHARE = 0.8;
@@ -14,6 +15,7 @@
   constructor(
     private readonly clock: () => number,
     private readonly countInstances: () => number,
+    private readonly traffic: TrafficMeter,
   ) {}
 
   /** Takes a connection; undefined when the instance's share of the server's connections is in use. */
@@ -49,7 +51,11 @@
   #getConnections(server: BackendServer): BackendConnections {
     const existing = this.servers.get(server.serverId);
     if (existing !== undefined) return existing;
-    const created = new BackendConnections(`http://${server.host}:${server.port}`, this.clock);
+    const created = new BackendConnections(
+      `http://${server.host}:${server.port}`,
+      this.clock,
+      this.traffic,
+    );
     this.servers.set(server.serverId, created);
     return created;
   }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -48,6 +48,9 @@
     server.keepAliveTimeout = limits.idleTimeoutMs;
     server.headersTimeout = limits.headerTimeoutMs;
   };
+  server.on('connection', (socket) => {
+    context.traffic.addSocket('caller', socket);
+  });
   applyLimits(DEFAULT_LIMITS);
   return { server, countOpenRequests: () => openRequests, applyLimits };
 }
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -14,6 +14,7 @@
 import type { RouteTable } from './route-table';
 import type { ServerChooser } from './server-chooser';
 import type { ServerRegistry } from './server-registry';
+import type { TrafficMeter } from './traffic-meter';
 
 /** State and components that all request handlers of an instance share. */
 export interface GatewayContext {
@@ -22,6 +23,7 @@
   log: GatewayLog;
   clock: Clock;
   metrics: GatewayMetrics;
+  traffic: TrafficMeter;
   registry: ServerRegistry;
   keyFreshness: KeyFreshness;
   loads: LoadTable;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,4 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { TRAFFIC_PARTIES } from './traffic-meter';
+import type { TrafficMeter } from './traffic-meter';
 
 /**
  * Bucket bounds of the latency histograms, in milliseconds. They range from the time of a plain response to the time
@@ -18,9 +20,10 @@
 }
 
 /** Creates the metrics in a new registry. */
-export function createGatewayMetrics(): GatewayMetrics {
+export function createGatewayMetrics(traffic: TrafficMeter): GatewayMetrics {
   const registry = new Registry();
   const registers = [registry];
+  createTrafficCounter(registry, traffic);
   return {
     requests: new Counter({
       name: 'pollendrum_requests_total',
@@ -56,3 +59,20 @@
     renderText: () => registry.metrics(),
   };
 }
+
+function createTrafficCounter(registry: Registry, traffic: TrafficMeter): void {
+  const counter = new Counter({
+    name: 'pollendrum_traffic_bytes_total',
+    help: 'Bytes by party and direction, without the headers of TCP, UDP and IP.',
+    labelNames: ['party', 'direction'],
+    registers: [registry],
+    collect: () => {
+      counter.reset();
+      for (const party of TRAFFIC_PARTIES) {
+        const bytes = traffic.readBytes(party);
+        counter.inc({ party, direction: 'received' }, bytes.received);
+        counter.inc({ party, direction: 'sent' }, bytes.sent);
+      }
+    },
+  });
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,8 @@
 import { INSTANCE_KIND, StoreWatchers } from './store-watchers';
 import type { ObjectDecoders } from './store-watchers';
 import type { ObjectStore } from './object-store';
+import { TrafficLog } from './traffic-meter';
+import type { TrafficMeter } from './traffic-meter';
 
 export interface GatewayOptions {
   settings: GatewaySettings;
@@ -34,6 +36,7 @@
   headerNames: HeaderNames;
   decoders: ObjectDecoders;
   log: GatewayLog;
+  traffic: TrafficMeter;
 }
 
 /** Settings that are read at each use, so that a reload takes effect without a restart. */
@@ -75,10 +78,11 @@
   private readonly callerServer: ReturnType<typeof createCallerServer>;
   private readonly speeds = new SpeedTracker();
   private readonly deferredRemovalTimer: NodeJS.Timeout;
+  private readonly trafficLog: TrafficLog;
   private readonly httpServers: Server[] = [];
 
   constructor(private readonly options: GatewayOptions) {
-    const { settings, log } = options;
+    const { settings, log, traffic } = options;
     const clock = () => performance.now();
     const registry = new ServerRegistry((change) => {
       this.#handleServerChange(change);
@@ -93,7 +97,8 @@
       codec: new HeaderCodec(options.headerNames),
       log,
       clock,
-      metrics: createGatewayMetrics(),
+      metrics: createGatewayMetrics(traffic),
+      traffic,
       registry,
       keyFreshness: new KeyFreshness(settings),
       loads,
@@ -103,7 +108,7 @@
         windowMs: settings.retryWindowSeconds * MS_PER_SECOND,
         minimumRetries: () => (settings.retrySlack * RETRY_SLACK_SHARE) / countInstances(),
       }),
-      backendPool: new BackendPool(clock, countInstances),
+      backendPool: new BackendPool(clock, countInstances, traffic),
       chooser: new ServerChooser({
         failureDomain: settings.failureDomain,
         registry,
@@ -125,10 +130,12 @@
       loads,
       clock,
       log,
+      traffic,
       onPrompt: (prompt) => {
         this.#handlePeerPrompt(prompt);
       },
     });
+    this.trafficLog = new TrafficLog(traffic, log);
     this.callerServer = createCallerServer(this.context);
     this.storeWatchers = new StoreWatchers({
       ...{ store: options.store, decoders: options.decoders, log, clock, registry },
@@ -225,6 +232,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.deferredRemovalTimer);
+    this.trafficLog[Symbol.dispose]();
     await this.storeWatchers[Symbol.asyncDispose]();
     await this.loadReporter[Symbol.asyncDispose]();
     await this.context.backendPool[Symbol.asyncDispose]();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,3 +5,4 @@
 export type * from './log-and-clock';
 export type * from './object-store';
 export type { ObjectDecoders } from './store-watchers';
+export { TrafficMeter } from './traffic-meter';
--- a/packages/gateway/src/load-reporter.ts
+++ b/packages/gateway/src/load-reporter.ts
@@ -4,6 +4,7 @@
 import { decodeCbor, encodeCbor, isValidLoadReport } from '@pollendrum/protocol';
 import type { ReportedPrompt } from '@pollendrum/protocol';
 import type { Clock, GatewayLog } from './log-and-clock';
+import type { TrafficMeter } from './traffic-meter';
 
 /** A changed load is reported within this time unless there are many peers, in milliseconds. */
 const REPORT_INTERVAL_MS = 50;
@@ -34,6 +35,7 @@
   /** Called when a peer reports a prompt that it sent to a server. */
   onPrompt(prompt: ReportedPrompt): void;
   log: GatewayLog;
+  traffic: TrafficMeter;
 }
 
 /**
@@ -113,6 +115,7 @@
       prompts: this.prompts,
     });
     this.prompts = [];
+    this.options.traffic.recordBytes('peer', 'sent', bytes.length * this.peers.length);
     for (const peer of this.peers) {
       this.socket.send(bytes, peer.port, peer.address, (error) => {
         if (error)
@@ -122,6 +125,7 @@
   }
 
   #handleMessage(bytes: Buffer): void {
+    this.options.traffic.recordBytes('peer', 'received', bytes.length);
     let report: unknown;
     try {
       report = decodeCbor(bytes);
--- a/packages/gateway/test/backend-attempt.test.ts
+++ b/packages/gateway/test/backend-attempt.test.ts
@@ -4,8 +4,13 @@
 import { startAttempt } from '../src/backend-attempt';
 import type { AttemptEnd } from '../src/backend-attempt';
 import { BackendConnections } from '../src/backend-connections';
+import { TrafficMeter } from '../src/traffic-meter';
 import { startRawBackend } from './raw-backend';
 
+function createConnections(port: number, traffic = new TrafficMeter()): BackendConnections {
+  return new BackendConnections(`http://127.0.0.1:${port}`, () => performance.now(), traffic);
+}
+
 interface AttemptCase {
   name: string;
   respond: (socket: Socket) => void;
@@ -104,9 +109,7 @@
 
 test.each(cases)('$name', async ({ respond, end, body }) => {
   await using backend = await startRawBackend(respond);
-  await using connections = new BackendConnections(`http://127.0.0.1:${backend.port}`, () =>
-    performance.now(),
-  );
+  await using connections = createConnections(backend.port);
   const result = await runAttempt(connections);
   expect(result.end.kind).toBe(end);
   expect(result.body).toBe(body);
@@ -115,9 +118,7 @@
 test('an attempt at a server that refuses the connection is not sent', async () => {
   const backend = await startRawBackend(() => undefined);
   await backend[Symbol.asyncDispose]();
-  await using connections = new BackendConnections(`http://127.0.0.1:${backend.port}`, () =>
-    performance.now(),
-  );
+  await using connections = createConnections(backend.port);
   const { end } = await runAttempt(connections);
   expect(end.kind).toBe('not-sent');
 });
@@ -126,10 +127,25 @@
   await using backend = await startRawBackend((socket) =>
     socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'),
   );
-  await using connections = new BackendConnections(`http://127.0.0.1:${backend.port}`, () =>
-    performance.now(),
-  );
+  await using connections = createConnections(backend.port);
   await runAttempt(connections);
   await runAttempt(connections);
   expect(backend.countAcceptedConnections()).toBe(1);
 });
+
+// Guards against traffic figures that omit open connections or count them twice when they close.
+test('the bytes of open and closed connections count as traffic', async () => {
+  const response = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+  await using backend = await startRawBackend((socket) => socket.write(response));
+  const traffic = new TrafficMeter();
+  const connections = createConnections(backend.port, traffic);
+  await runAttempt(connections);
+  await runAttempt(connections);
+  const { sent, received } = traffic.readBytes('backend');
+  expect(received).toBe(2 * response.length);
+  expect(sent).toBeGreaterThan(0);
+  await connections[Symbol.asyncDispose]();
+  await sleep(BLOCK_MS);
+  expect(traffic.readBytes('backend')).toEqual({ sent, received });
+  expect(traffic.readBytes('store')).toEqual({ sent: 0, received: 0 });
+});
--- a/packages/gateway/test/gateway-fixture.ts
+++ b/packages/gateway/test/gateway-fixture.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { GatewaySettings } from '@pollendrum/protocol';
-import { Gateway } from '../src';
+import { Gateway, TrafficMeter } from '../src';
 import type { GatewayLog, HeaderNames, BackendServer, Route, RouteBundle } from '../src';
 import { FakeStore } from './fake-store';
 import { startRawBackend } from './raw-backend';
@@ -120,6 +120,7 @@
   lines: LogLine[];
   callerPort: number;
   readinessPort: number;
+  metricsPort: number;
 }
 
 export interface TestGatewayOptions {
@@ -135,7 +136,8 @@
   const store = new FakeStore();
   if (options.bundle !== null) store.put('bundles', 'main', options.bundle ?? makeBundle());
   for (const server of options.servers ?? []) store.put('servers', server.serverId, server);
-  const [callerPort, readinessPort, peerPort] = await Promise.all([
+  const [callerPort, readinessPort, metricsPort, peerPort] = await Promise.all([
+    findFreePort(),
     findFreePort(),
     findFreePort(),
     findFreeUdpPort(),
@@ -147,6 +149,7 @@
     address: '127.0.0.1',
     callerAddress: `127.0.0.1:${callerPort}`,
     readinessAddress: `127.0.0.1:${readinessPort}`,
+    metricsAddress: `127.0.0.1:${metricsPort}`,
     peerPort,
     storeAddress: '127.0.0.1:1',
     drainLimitSeconds: options.drainLimitSeconds ?? 5,
@@ -168,6 +171,7 @@
       decodeServer: (_, spec) => ({ ok: true, value: spec as BackendServer }),
     },
     log: createTestLog(lines),
+    traffic: new TrafficMeter(),
   });
   await gateway.start();
   if (options.bundle !== null && (options.servers ?? []).length > 0) {
@@ -180,6 +184,7 @@
     lines,
     callerPort,
     readinessPort,
+    metricsPort,
     [Symbol.asyncDispose]: () => gateway[Symbol.asyncDispose](),
   };
 }
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -162,3 +162,19 @@
   const line = running.lines.find(({ message }) => message === 'settings reloaded');
   expect(line?.fields).toEqual({ changed: ['keyRevocationMs'], needRestart: ['peerPort'] });
 });
+
+test('the metrics page has the traffic by party', async () => {
+  await using backend = await startRawBackend(sendOk);
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port)],
+  });
+  await sendRequest(running.callerPort, '/orders/1');
+  const { body } = await sendRequest(running.metricsPort, '/metrics', { method: 'GET' });
+  for (const party of ['caller', 'backend']) {
+    for (const direction of ['received', 'sent']) {
+      const name = `pollendrum_traffic_bytes_total{party="${party}",direction="${direction}"}`;
+      const line = body.split('\n').find((text) => text.startsWith(`${name} `));
+      expect(Number(line?.split(' ')[1])).toBeGreaterThan(0);
+    }
+  }
+});
--- a/packages/gateway/test/load-reporter.test.ts
+++ b/packages/gateway/test/load-reporter.test.ts
@@ -4,6 +4,7 @@
 import { encodeCbor } from '@pollendrum/protocol';
 import { expect, test } from 'vitest';
 import { LoadReporter } from '../src/load-reporter';
+import { TrafficMeter } from '../src';
 import { createTestLog, findFreeUdpPort, waitUntil } from './gateway-fixture';
 import type { LogLine } from './gateway-fixture';
 
@@ -18,6 +19,7 @@
     loads,
     clock: () => performance.now(),
     log: createTestLog(lines),
+    traffic: new TrafficMeter(),
     onPrompt: ({ serverId }) => prompts.push(serverId),
   });
   return { reporter, loads, prompts, lines };
--- a/packages/platform/src/client/http-client.ts
+++ b/packages/platform/src/client/http-client.ts
@@ -1,4 +1,5 @@
-import { Pool } from 'undici';
+import type { Socket } from 'node:net';
+import { buildConnector, Pool } from 'undici';
 import { PlatformUnavailableError, WatchAbortedError } from './errors';
 
 /** HTTP request to the platform. */
@@ -21,13 +22,21 @@
   elapsedMs: number;
 }
 
+export interface HttpClientOptions {
+  /** Called with each connection that has been opened. */
+  onConnect?(socket: Socket): void;
+}
+
 const MAX_CONNECTIONS = 32;
 
 /** HTTP client with a connection pool that is replaced after a timeout. */
 export class HttpClient implements AsyncDisposable {
   #pool: Pool;
 
-  constructor(readonly url: string) {
+  constructor(
+    readonly url: string,
+    private readonly options: HttpClientOptions = {},
+  ) {
     this.#pool = this.#createPool();
   }
 
@@ -70,7 +79,17 @@
   }
 
   #createPool(): Pool {
-    return new Pool(this.url, { connections: MAX_CONNECTIONS, pipelining: 1 });
+    const connect = buildConnector({});
+    return new Pool(this.url, {
+      connections: MAX_CONNECTIONS,
+      pipelining: 1,
+      connect: (options, callback) => {
+        connect(options, (...result) => {
+          if (result[0] === null) this.options.onConnect?.(result[1]);
+          callback(...result);
+        });
+      },
+    });
   }
 
   // The other connections of the pool may lead to the same unresponsive host. Requests in flight end
