Report only changed loads, within a fixed byte rate

Cause: each instance sent up to 400 load reports a second, and each repeated all servers in use, about 110 bytes a server. With 62 instances that is 612 kB/s at a normal load, on links of 875 kB/s. Every byte on a link waits in the same queue, so requests, cancellations and watch responses came late; later requests stay open longer, and open requests make the reports longer still. Class of fault: control traffic that grows with instances times servers and has no limit of its own.

Utilization and due times are reported such that peers let them age by themselves. The interval between reports grows until an instance sends at most 80 kB/s to all its peers together; all send alike, so it receives no more either.

A changed expectation in a test: the overdue time that a peer reported goes on growing (500 ms instead of 400 after 100 ms), and a peer's next report no longer hides another peer's overdue request (160 ms instead of 0).

Why it works: the bytes follow the requests of an instance, and their limit does not depend on the number of instances and servers.

--- a/packages/bench/src/capacity/placement.ts
+++ b/packages/bench/src/capacity/placement.ts
@@ -3,8 +3,9 @@
   DEFAULT_ENGINE_PROFILE,
   PromptLengthPartition,
   LoadTable,
-  NO_LOAD,
+  NO_PLACED_LOAD,
 } from '@pollendrum/policy';
+import type { ReportedLoad } from '@pollendrum/policy';
 import { createFigure, type Figure, type Measurement } from './measurement';
 
 /** Instances and servers of one model: today, the grown deployments, the design size with 6 models. */
@@ -15,6 +16,10 @@
 ];
 const DECISIONS = 300;
 const REPORTED_SERVERS = 40;
+const REPORTED_LOAD: ReportedLoad = {
+  ...NO_PLACED_LOAD,
+  ...{ queuedPrefillMs: 40, waiting: 1, streaming: 2, shortShare: 0.02, dueInMs: undefined },
+};
 
 /** Cost of placing one stream and of taking in one load report. */
 export const placement: Measurement = {
@@ -29,11 +34,11 @@
     new Map(
       Array.from({ length: Math.min(servers, REPORTED_SERVERS) }, (_, index) => [
         serverIds[(offset * 7 + index) % servers] ?? '',
-        { ...NO_LOAD, waiting: 1, streaming: 2, queuedPrefillMs: 40, shortShare: 0.02 },
+        REPORTED_LOAD,
       ]),
     );
   const reportUs = measureEach(instances * 3, (index) => {
-    loads.replacePeerReport(`instance-${index % instances}`, makeReport(index), index);
+    loads.mergePeerReport(`instance-${index % instances}`, makeReport(index), index);
   });
   const options = {
     partition: new PromptLengthPartition(),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
   PrefixCacheTracker,
   SpeedTracker,
 } from '@pollendrum/policy';
-import type { GatewaySettings, ReportedPrompt } from '@pollendrum/protocol';
+import type { GatewaySettings } from '@pollendrum/protocol';
 import { BackendPool } from './backend-pool';
 import type { RouteBundle } from './bundle';
 import { createCallerServer } from './caller-server';
@@ -18,6 +18,7 @@
 import { HeaderCodec } from './header-codec';
 import type { HeaderNames } from './header-codec';
 import { KeyFreshness } from './key-freshness';
+import type { ReportedPrompt } from './load-report-codec';
 import { LoadReporter } from './load-reporter';
 import type { GatewayLog } from './log-and-clock';
 import { RouteTable } from './route-table';
@@ -119,7 +120,7 @@
       }),
       getRouteTable: () => this.routeTable,
       reportPrompt: (serverId, parts) => {
-        this.loadReporter.addPrompt({ serverId, parts: [...parts] });
+        this.loadReporter.addPrompt({ serverId, parts });
       },
       isDraining: () => this.isDraining,
     };
--- /dev/null
+++ b/packages/gateway/src/load-report-codec.ts
@@ -0,0 +1,90 @@
+import type { DueLoad, PromptPart, ReportedLoad } from '@pollendrum/policy';
+import { decodeCbor, encodeCbor, isValidLoadReport } from '@pollendrum/protocol';
+import type { LoadReportServer } from '@pollendrum/protocol';
+
+/** A prompt that was sent to a backend server, without the last part, which no other prompt shares. */
+export interface ReportedPrompt {
+  serverId: string;
+  parts: readonly PromptPart[];
+}
+
+/** Changes of the load that an instance has put on backend servers. */
+export interface LoadReport {
+  instanceId: string;
+  /** Distinguishes the starts of an instance. */
+  incarnation: string;
+  /** Increases with each report of an incarnation. */
+  sequence: number;
+  loads: readonly DueLoad[];
+  prompts: readonly ReportedPrompt[];
+}
+
+export type DecodedLoadReport =
+  { kind: 'report'; report: LoadReport } | { kind: 'invalid'; reason: unknown };
+
+const PER_MILLE = 1_000;
+
+/** Encodes a report as arrays, since field names would take most of the datagram. */
+export function encodeLoadReport(report: LoadReport): Buffer {
+  return encodeCbor([
+    report.instanceId,
+    report.incarnation,
+    report.sequence,
+    report.loads.map(encodeServer),
+    report.prompts.map(({ serverId, parts }) => [
+      serverId,
+      parts.map(({ id, tokens }) => [id, Math.round(tokens)]),
+    ]),
+  ]);
+}
+
+/** Decodes a datagram of a peer, which may hold any bytes. */
+export function decodeLoadReport(bytes: Buffer): DecodedLoadReport {
+  let message: unknown;
+  try {
+    message = decodeCbor(bytes);
+  } catch (error) {
+    return { kind: 'invalid', reason: String(error) };
+  }
+  if (!isValidLoadReport(message)) return { kind: 'invalid', reason: isValidLoadReport.errors };
+  const [instanceId, incarnation, sequence, servers, prompts] = message;
+  return {
+    kind: 'report',
+    report: {
+      instanceId,
+      incarnation,
+      sequence,
+      loads: servers.map(decodeServer),
+      prompts: prompts.map(([serverId, parts]) => ({
+        serverId,
+        parts: parts.map(([id, tokens]) => ({ id, tokens })),
+      })),
+    },
+  };
+}
+
+function encodeServer({ serverId, load }: DueLoad): LoadReportServer {
+  return [
+    serverId,
+    load.waiting,
+    load.streaming,
+    load.pauseSensitive,
+    Math.round(load.queuedPrefillMs),
+    Math.round(load.heldTokens),
+    Math.round(load.shortShare * PER_MILLE),
+    Math.round(load.longShare * PER_MILLE),
+    load.dueInMs === undefined ? null : Math.round(load.dueInMs),
+  ];
+}
+
+function decodeServer(server: LoadReportServer): DueLoad {
+  const [serverId, waiting, streaming, pauseSensitive, ...rest] = server;
+  const [queuedPrefillMs, heldTokens, shortPerMille, longPerMille, dueInMs] = rest;
+  const load: ReportedLoad = {
+    ...{ waiting, streaming, pauseSensitive, queuedPrefillMs, heldTokens },
+    shortShare: shortPerMille / PER_MILLE,
+    longShare: longPerMille / PER_MILLE,
+    dueInMs: dueInMs ?? undefined,
+  };
+  return { serverId, load };
+}
--- a/packages/gateway/src/load-reporter.ts
+++ b/packages/gateway/src/load-reporter.ts
@@ -1,22 +1,32 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
-import type { LoadTable, ServerLoad } from '@pollendrum/policy';
-import { decodeCbor, encodeCbor, isValidLoadReport } from '@pollendrum/protocol';
-import type { ReportedPrompt } from '@pollendrum/protocol';
+import { LoadChanges } from '@pollendrum/policy';
+import type { LoadTable } from '@pollendrum/policy';
+import { decodeLoadReport, encodeLoadReport } from './load-report-codec';
+import type { ReportedPrompt } from './load-report-codec';
 import type { Clock, GatewayLog } from './log-and-clock';
 import type { TrafficMeter } from './traffic-meter';
 
-/** A changed load is reported within this time unless there are many peers, in milliseconds. */
-const REPORT_INTERVAL_MS = 50;
-/** Approximate limit on the reports that an instance receives per second; with many peers each reports less often. */
-const MAX_RECEIVED_REPORTS_PER_SECOND = 400;
-/** Interval at which an unchanged load is reported again, in milliseconds; peers discard a report after 2 s. */
-const UNCHANGED_REPORT_INTERVAL_MS = 600;
+/** Shortest interval between two reports, in milliseconds. */
+const MIN_REPORT_INTERVAL_MS = 50;
+/** A timer can fire this much early or late, in milliseconds. */
+const TIMER_TOLERANCE_MS = 5;
+/** Limit on the reports that an instance sends per second, which costs processor time at its peers. */
+const MAX_REPORTS_PER_SECOND = 400;
 /**
- * Maximum number of prompts in a report, which keeps the datagram below 64 KB. Further prompts are not reported,
- * which can cost a prefill that a cache would have saved.
+ * Limit on the bytes that an instance sends to all its peers per second, with the headers of datagrams. Peers send alike,
+ * so it also receives this much. The interval between reports grows until the limit is kept.
  */
-const MAX_PROMPTS_PER_REPORT = 200;
+const MAX_BYTES_PER_SECOND = 80_000;
+/** Bytes of the IP and UDP headers of a datagram. */
+const DATAGRAM_HEADER_BYTES = 28;
+/** Interval of reports without a change while requests are in progress, in milliseconds. */
+const IDLE_REPORT_INTERVAL_MS = 600;
+/** Limits on the contents of a report, which keep the datagram below the size that networks split. */
+const MAX_LOADS_PER_REPORT = 24;
+const MAX_PROMPTS_PER_REPORT = 8;
+/** Prompts beyond this number are not reported, which can cost a prefill that a cache would have saved. */
+const MAX_PENDING_PROMPTS = 200;
 const MS_PER_SECOND = 1_000;
 
 /** Address at which an instance receives load reports. */
@@ -39,21 +49,23 @@
 }
 
 /**
- * Sends the load that this instance puts on backend servers to the other instances in UDP datagrams, and merges the
- * reports received from them.
+ * Sends changes of the load that this instance puts on backend servers to the other instances in UDP datagrams, and
+ * merges the reports received from them.
  */
 export class LoadReporter implements AsyncDisposable {
   private readonly socket: Socket;
   private readonly incarnation = `${process.pid}-${Date.now()}`;
   private readonly lastSequences = new Map<string, { incarnation: string; sequence: number }>();
   private readonly timer: NodeJS.Timeout;
+  private readonly changes: LoadChanges;
   private peers: readonly PeerAddress[] = [];
   private sequence = 0;
-  private prompts: ReportedPrompt[] = [];
-  private lastLoadsJson = '[]';
+  private pendingPrompts: ReportedPrompt[] = [];
   private lastSentAtMs = -Infinity;
+  private nextReportAtMs = -Infinity;
 
   constructor(private readonly options: LoadReporterOptions) {
+    this.changes = new LoadChanges(options.loads);
     this.socket = createSocket('udp4');
     this.socket.on('message', (bytes) => {
       this.#handleMessage(bytes);
@@ -64,22 +76,24 @@
     this.socket.bind(options.port, options.address);
     this.timer = setInterval(() => {
       this.#sendReportIfDue();
-    }, REPORT_INTERVAL_MS);
+    }, MIN_REPORT_INTERVAL_MS);
   }
 
   setPeers(peers: readonly PeerAddress[]): void {
-    const { instanceId, loads } = this.options;
+    const { instanceId, loads, clock } = this.options;
     const others = peers.filter((peer) => peer.instanceId !== instanceId);
+    const knownIds = new Set(this.peers.map((peer) => peer.instanceId));
     const remainingIds = new Set(others.map((peer) => peer.instanceId));
-    for (const { instanceId: peerId } of this.peers) {
-      if (!remainingIds.has(peerId)) loads.removePeer(peerId);
+    for (const peerId of knownIds) {
+      if (!remainingIds.has(peerId)) loads.removePeer(peerId, clock());
     }
+    if (others.some((peer) => !knownIds.has(peer.instanceId))) this.changes.reset();
     this.peers = others;
   }
 
-  /** Adds a prompt to the next report. */
+  /** Adds a prompt to the next report that has room for it. */
   addPrompt(prompt: ReportedPrompt): void {
-    if (this.prompts.length < MAX_PROMPTS_PER_REPORT) this.prompts.push(prompt);
+    if (this.pendingPrompts.length < MAX_PENDING_PROMPTS) this.pendingPrompts.push(prompt);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -91,85 +105,58 @@
 
   #sendReportIfDue(): void {
     const nowMs = this.options.clock();
-    const intervalMs = Math.max(
-      REPORT_INTERVAL_MS,
-      (this.peers.length * MS_PER_SECOND) / MAX_RECEIVED_REPORTS_PER_SECOND,
-    );
-    if (nowMs - this.lastSentAtMs < intervalMs * 0.9) return;
-    const loads = buildLoadEntries(this.options.loads.listLocalLoads(nowMs));
-    const loadsJson = JSON.stringify(loads);
-    const isUnchanged = loadsJson === this.lastLoadsJson && this.prompts.length === 0;
-    if (
-      isUnchanged &&
-      (loads.length === 0 || nowMs - this.lastSentAtMs < UNCHANGED_REPORT_INTERVAL_MS)
-    )
-      return;
-    this.lastLoadsJson = loadsJson;
-    this.lastSentAtMs = nowMs;
+    if (nowMs < this.nextReportAtMs - TIMER_TOLERANCE_MS) return;
+    const loads = this.changes.takeDue(nowMs, MAX_LOADS_PER_REPORT);
+    const prompts = this.pendingPrompts.splice(0, MAX_PROMPTS_PER_REPORT);
+    if (loads.length + prompts.length === 0) {
+      if (nowMs - this.lastSentAtMs < IDLE_REPORT_INTERVAL_MS) return;
+      if (!this.changes.hasRequests()) return;
+    }
     this.sequence += 1;
-    const bytes = encodeCbor({
-      instanceId: this.options.instanceId,
-      incarnation: this.incarnation,
-      sequence: this.sequence,
-      loads,
-      prompts: this.prompts,
-    });
-    this.prompts = [];
-    this.options.traffic.recordBytes('peer', 'sent', bytes.length * this.peers.length);
+    const { instanceId } = this.options;
+    const { incarnation, sequence } = this;
+    const bytes = encodeLoadReport({ instanceId, incarnation, sequence, loads, prompts });
+    this.lastSentAtMs = nowMs;
+    this.nextReportAtMs = nowMs + computeIntervalMs(bytes.length, this.peers.length);
+    this.#sendToPeers(bytes);
+  }
+
+  #sendToPeers(bytes: Buffer): void {
+    const { log, traffic } = this.options;
+    traffic.recordBytes('peer', 'sent', bytes.length * this.peers.length);
     for (const peer of this.peers) {
       this.socket.send(bytes, peer.port, peer.address, (error) => {
-        if (error)
-          this.options.log.debug('failed to send load report', { peer: peer.instanceId, error });
+        if (error) log.debug('failed to send load report', { peer: peer.instanceId, error });
       });
     }
   }
 
   #handleMessage(bytes: Buffer): void {
-    this.options.traffic.recordBytes('peer', 'received', bytes.length);
-    let report: unknown;
-    try {
-      report = decodeCbor(bytes);
-    } catch (error) {
-      this.options.log.warn('received a load report that cannot be decoded', {
-        error: String(error),
-      });
-      return;
-    }
-    if (!isValidLoadReport(report)) {
-      this.options.log.warn('received an invalid load report', {
-        errors: isValidLoadReport.errors,
-      });
+    const { loads, log, traffic, onPrompt, clock } = this.options;
+    traffic.recordBytes('peer', 'received', bytes.length);
+    const decoded = decodeLoadReport(bytes);
+    if (decoded.kind === 'invalid') {
+      log.warn('received an invalid load report', { reason: decoded.reason });
       return;
     }
+    const { report } = decoded;
     const previous = this.lastSequences.get(report.instanceId);
-    const isOutdated =
-      previous?.incarnation === report.incarnation && previous.sequence >= report.sequence;
-    if (isOutdated) return;
+    const isSameIncarnation = previous?.incarnation === report.incarnation;
+    if (isSameIncarnation && previous.sequence >= report.sequence) return;
+    if (!isSameIncarnation) loads.removePeer(report.instanceId, clock());
     this.lastSequences.set(report.instanceId, report);
-    const loads = new Map<string, ServerLoad>(
-      report.loads.map(({ serverId, ...load }) => [serverId, load]),
-    );
-    for (const prompt of report.prompts) this.options.onPrompt(prompt);
-    this.options.loads.replacePeerReport(report.instanceId, loads, this.options.clock());
+    for (const prompt of report.prompts) onPrompt(prompt);
+    const loadByServer = new Map(report.loads.map(({ serverId, load }) => [serverId, load]));
+    loads.mergePeerReport(report.instanceId, loadByServer, clock());
   }
 }
 
-/** Builds the load entries of a report. Values are rounded to keep the datagrams short. */
-function buildLoadEntries(loads: ReadonlyMap<string, ServerLoad>) {
-  return [...loads].map(([serverId, load]) => ({
-    serverId,
-    queuedPrefillMs: Math.round(load.queuedPrefillMs),
-    waiting: load.waiting,
-    streaming: load.streaming,
-    pauseSensitive: load.pauseSensitive,
-    heldTokens: Math.round(load.heldTokens),
-    shortShare: toTwoDecimals(load.shortShare),
-    longShare: toTwoDecimals(load.longShare),
-    overdueMs: Math.max(0, Math.round(load.overdueMs)),
-  }));
-}
-
-/** Rounds to two decimals, so that the slowly decaying shares of an idle instance do not count as a change. */
-function toTwoDecimals(share: number): number {
-  return Math.round(share * 100) / 100;
+/** Time from a report of this size until the next one, in milliseconds, so that both limits per second are kept. */
+function computeIntervalMs(reportBytes: number, peerCount: number): number {
+  const bytes = (reportBytes + DATAGRAM_HEADER_BYTES) * peerCount;
+  return Math.max(
+    MIN_REPORT_INTERVAL_MS,
+    (peerCount * MS_PER_SECOND) / MAX_REPORTS_PER_SECOND,
+    (bytes * MS_PER_SECOND) / MAX_BYTES_PER_SECOND,
+  );
 }
--- a/packages/gateway/test/load-reporter.test.ts
+++ b/packages/gateway/test/load-reporter.test.ts
@@ -1,8 +1,9 @@
 import { createSocket } from 'node:dgram';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { LoadTable } from '@pollendrum/policy';
+import { LoadTable, NO_PLACED_LOAD } from '@pollendrum/policy';
 import { encodeCbor } from '@pollendrum/protocol';
 import { expect, test } from 'vitest';
+import { encodeLoadReport } from '../src/load-report-codec';
 import { LoadReporter } from '../src/load-reporter';
 import { TrafficMeter } from '../src';
 import { createTestLog, findFreeUdpPort, waitUntil } from './gateway-fixture';
@@ -79,24 +80,12 @@
   await sleep(20);
   const socket = createSocket('udp4');
   const makeReport = (sequence: number, waiting: number) =>
-    encodeCbor({
+    encodeLoadReport({
       instanceId: 'two',
       incarnation: 'i1',
       sequence,
       prompts: [],
-      loads: [
-        {
-          serverId: 'engine',
-          queuedPrefillMs: 0,
-          waiting,
-          streaming: 0,
-          pauseSensitive: 0,
-          heldTokens: 0,
-          shortShare: 0,
-          longShare: 0,
-          overdueMs: 0,
-        },
-      ],
+      loads: [{ serverId: 'engine', load: { ...NO_PLACED_LOAD, waiting, dueInMs: undefined } }],
     });
   for (const bytes of [makeReport(2, 5), makeReport(1, 9)]) {
     await new Promise<void>((resolve) => socket.send(bytes, port, '127.0.0.1', () => resolve()));
--- a/packages/policy/src/placement/index.ts
+++ b/packages/policy/src/placement/index.ts
@@ -1,10 +1,11 @@
 export * from './engine-profile';
 export * from './failure-tracker';
 export * from './prompt-length-partition';
+export * from './load-changes';
 export * from './load-table';
 export * from './prefix-cache-tracker';
-export { NO_LOAD } from './server-load';
-export type { ServerLoad } from './server-load';
+export { NO_LOAD, NO_PLACED_LOAD } from './server-load';
+export type { ReportedLoad, ServerLoad } from './server-load';
 export * from './non-streaming-placement';
 export * from './utilization-meter';
 export * from './speed-tracker';
--- a/packages/policy/src/placement/load-table.ts
+++ b/packages/policy/src/placement/load-table.ts
@@ -1,6 +1,6 @@
 import { PeerLoads } from './peer-loads';
-import { NO_LOAD } from './server-load';
-import type { ServerLoad } from './server-load';
+import { NO_LOAD, NO_PLACED_LOAD } from './server-load';
+import type { PlacedLoad, ReportedLoad, ServerLoad } from './server-load';
 import { UtilizationMeter } from './utilization-meter';
 
 /** A request that was sent to a backend server. */
@@ -20,11 +20,17 @@
   isStreaming: boolean;
 }
 
-/** Servers without requests are omitted from reports unless their utilization exceeds this value. */
-const MIN_REPORTED_UTILIZATION = 0.005;
+/** A server that this instance has sent requests to. */
+export interface LocalServerState {
+  serverId: string;
+  /** Increases with each request that is added, starts streaming or is removed. */
+  changeCount: number;
+  hasRequests: boolean;
+}
 
 interface LocalServer {
   requests: Set<PlacedRequest>;
+  changeCount: number;
   shortPromptMeter: UtilizationMeter;
   longPromptMeter: UtilizationMeter;
 }
@@ -38,17 +44,22 @@
     const server = this.local.get(request.serverId) ?? makeLocalServer();
     this.local.set(request.serverId, server);
     server.requests.add(request);
+    server.changeCount += 1;
     const meter = request.hasLongPrompt ? server.longPromptMeter : server.shortPromptMeter;
     meter.add(request.prefillMs, nowMs);
   }
 
   /** Records that the stream has sent its first event, so that it counts as streaming instead of waiting. */
   markStreaming(request: PlacedRequest): void {
+    if (request.isStreaming) return;
     request.isStreaming = true;
+    const server = this.local.get(request.serverId);
+    if (server !== undefined) server.changeCount += 1;
   }
 
   remove(request: PlacedRequest): void {
-    this.local.get(request.serverId)?.requests.delete(request);
+    const server = this.local.get(request.serverId);
+    if (server?.requests.delete(request)) server.changeCount += 1;
   }
 
   /** Removes a server that is no longer listed. Does nothing while requests of this instance to it are in progress. */
@@ -56,31 +67,43 @@
     if (this.local.get(serverId)?.requests.size === 0) this.local.delete(serverId);
   }
 
-  /** Stores a peer's report in place of the peer's previous report. */
-  replacePeerReport(peerId: string, loads: ReadonlyMap<string, ServerLoad>, nowMs: number): void {
-    this.peers.replaceReport(peerId, loads, nowMs);
+  /** Replaces what is known of a peer's load on the reported servers; its load on other servers stays as it was. */
+  mergePeerReport(peerId: string, loads: ReadonlyMap<string, ReportedLoad>, nowMs: number): void {
+    this.peers.mergeReport(peerId, loads, nowMs);
   }
 
-  removePeer(peerId: string): void {
-    this.peers.removePeer(peerId);
+  removePeer(peerId: string, nowMs: number): void {
+    this.peers.removePeer(peerId, nowMs);
   }
 
-  /** Lists the load that this instance has put on each server, without idle servers. */
-  listLocalLoads(nowMs: number): Map<string, ServerLoad> {
-    const loads = new Map<string, ServerLoad>();
-    for (const [serverId, server] of this.local) {
-      const load = summarizeServer(server, nowMs);
-      const hasLoad =
-        server.requests.size > 0 || load.shortShare + load.longShare > MIN_REPORTED_UTILIZATION;
-      if (hasLoad) loads.set(serverId, load);
-    }
-    return loads;
+  /** Lists the servers that this instance has sent requests to, also idle ones. */
+  listLocalServers(): LocalServerState[] {
+    return [...this.local].map(([serverId, { changeCount, requests }]) => ({
+      serverId,
+      changeCount,
+      hasRequests: requests.size > 0,
+    }));
+  }
+
+  /** Load that this instance has put on a server. */
+  getReportedLoad(serverId: string, nowMs: number): ReportedLoad {
+    const server = this.local.get(serverId);
+    if (server === undefined) return { ...NO_PLACED_LOAD, dueInMs: undefined };
+    const dueAtMs = findEarliestDue(server);
+    return {
+      ...summarizeServer(server, nowMs),
+      dueInMs: dueAtMs === undefined ? undefined : dueAtMs - nowMs,
+    };
   }
 
   /** Total load of a server from all instances. */
   getLoad(serverId: string, nowMs: number): ServerLoad {
     const server = this.local.get(serverId);
-    const total = server === undefined ? { ...NO_LOAD } : summarizeServer(server, nowMs);
+    const total = { ...NO_LOAD };
+    if (server !== undefined) {
+      Object.assign(total, summarizeServer(server, nowMs));
+      total.overdueMs = Math.max(0, nowMs - (findEarliestDue(server) ?? Infinity));
+    }
     this.peers.addTo(total, serverId, nowMs);
     return total;
   }
@@ -89,14 +112,15 @@
 function makeLocalServer(): LocalServer {
   return {
     requests: new Set(),
+    changeCount: 0,
     shortPromptMeter: new UtilizationMeter(),
     longPromptMeter: new UtilizationMeter(),
   };
 }
 
-function summarizeServer(server: LocalServer, nowMs: number): ServerLoad {
+function summarizeServer(server: LocalServer, nowMs: number): PlacedLoad {
   const total = {
-    ...NO_LOAD,
+    ...NO_PLACED_LOAD,
     shortShare: server.shortPromptMeter.getUtilization(nowMs),
     longShare: server.longPromptMeter.getUtilization(nowMs),
   };
@@ -109,7 +133,15 @@
     }
     total.waiting += 1;
     total.queuedPrefillMs += request.prefillMs;
-    total.overdueMs = Math.max(total.overdueMs, nowMs - request.expectedFirstByteAtMs);
   }
   return total;
 }
+
+/** Earliest expected first byte among the waiting requests; undefined if none is expected. */
+function findEarliestDue(server: LocalServer): number | undefined {
+  let earliestMs = Infinity;
+  for (const { isStreaming, expectedFirstByteAtMs } of server.requests) {
+    if (!isStreaming) earliestMs = Math.min(earliestMs, expectedFirstByteAtMs);
+  }
+  return Number.isFinite(earliestMs) ? earliestMs : undefined;
+}
--- a/packages/policy/src/placement/peer-loads.ts
+++ b/packages/policy/src/placement/peer-loads.ts
@@ -1,91 +1,134 @@
-import { addLoad, NO_LOAD } from './server-load';
-import type { ServerLoad } from './server-load';
+import { addRequests, NO_PLACED_LOAD } from './server-load';
+import type { PlacedLoad, ReportedLoad, ServerLoad } from './server-load';
+import { computeDecay, UtilizationMeter } from './utilization-meter';
 
-/** Lifetime of a peer's report, in milliseconds; a peer without a newer report has probably stopped. */
-const REPORT_LIFETIME_MS = 2_000;
-/** Minimum interval between checks for expired reports, in milliseconds. */
+/** Time after which a peer that sends no report has probably stopped, in milliseconds. */
+const PEER_LIFETIME_MS = 2_000;
+/** Time after which a load that its peer does not repeat is outdated, in milliseconds; the last report of it was lost. */
+const LOAD_LIFETIME_MS = 4_000;
+/** Minimum interval between checks for expired loads, in milliseconds. */
 const EXPIRY_CHECK_INTERVAL_MS = 200;
-/** Time for which a peer's overdue time is kept if the peer sends no newer one, in milliseconds. */
-const OVERDUE_LIFETIME_MS = 700;
+/** Idle servers with a lower utilization are not kept. */
+const MIN_KEPT_UTILIZATION = 0.005;
 
-interface PeerReport {
+/** Load that one peer has put on one server. */
+interface PeerLoad {
+  load: ReportedLoad;
   receivedAtMs: number;
-  loads: ReadonlyMap<string, ServerLoad>;
+  /** Earliest expected first byte among the waiting requests, on this instance's clock; Infinity if none waits. */
+  dueAtMs: number;
 }
 
-interface ReportedOverdue {
-  peerId: string;
-  overdueMs: number;
-  receivedAtMs: number;
+interface Peer {
+  heardAtMs: number;
+  /** Loads by server id, in the order in which they were received. */
+  loads: Map<string, PeerLoad>;
+}
+
+/** Sum over all peers for one server. */
+interface ServerTotal {
+  requests: PlacedLoad;
+  shortMeter: UtilizationMeter;
+  longMeter: UtilizationMeter;
+  loadByPeer: Map<string, PeerLoad>;
 }
 
 /**
- * Load that the other instances have put on backend servers. Totals are kept per server, so that the cost of a
- * lookup does not grow with the number of instances.
+ * Load that the other instances have put on backend servers. Sums are kept per server; a lookup only visits the peers
+ * that use the server.
  */
 export class PeerLoads {
-  private readonly reports = new Map<string, PeerReport>();
-  private readonly totals = new Map<string, ServerLoad>();
-  private readonly longestOverdueByServer = new Map<string, ReportedOverdue>();
+  private readonly peers = new Map<string, Peer>();
+  private readonly totals = new Map<string, ServerTotal>();
   private lastExpiryCheckAtMs = -Infinity;
 
-  /** Stores a peer's report in place of the peer's previous report. */
-  replaceReport(peerId: string, loads: ReadonlyMap<string, ServerLoad>, nowMs: number): void {
-    this.removePeer(peerId);
-    this.reports.set(peerId, { receivedAtMs: nowMs, loads });
+  /** Replaces what is known of a peer's load on these servers; its load on other servers stays as it was. */
+  mergeReport(peerId: string, loads: ReadonlyMap<string, ReportedLoad>, nowMs: number): void {
+    const peer = this.peers.get(peerId) ?? { heardAtMs: nowMs, loads: new Map<string, PeerLoad>() };
+    this.peers.set(peerId, peer);
+    peer.heardAtMs = nowMs;
     for (const [serverId, load] of loads) {
-      this.#addToTotal(serverId, load, 1);
-      this.#updateLongestOverdue(serverId, {
-        peerId,
-        overdueMs: load.overdueMs,
-        receivedAtMs: nowMs,
-      });
+      this.#removeLoad(peerId, peer, serverId, nowMs);
+      if (isNegligible(load)) continue;
+      const peerLoad = { load, receivedAtMs: nowMs, dueAtMs: nowMs + (load.dueInMs ?? Infinity) };
+      peer.loads.set(serverId, peerLoad);
+      this.#addToTotal(peerId, serverId, peerLoad);
     }
   }
 
-  removePeer(peerId: string): void {
-    const report = this.reports.get(peerId);
-    if (report === undefined) return;
-    this.reports.delete(peerId);
-    for (const [serverId, load] of report.loads) this.#addToTotal(serverId, load, -1);
+  removePeer(peerId: string, nowMs: number): void {
+    const peer = this.peers.get(peerId);
+    if (peer === undefined) return;
+    this.peers.delete(peerId);
+    for (const serverId of [...peer.loads.keys()]) {
+      this.#removeLoad(peerId, peer, serverId, nowMs);
+    }
   }
 
   /** Adds the load that peers have put on a server to `total`. */
   addTo(total: ServerLoad, serverId: string, nowMs: number): void {
     this.#expire(nowMs);
     const peers = this.totals.get(serverId);
-    if (peers !== undefined) addLoad(total, peers, 1);
-    const reported = this.longestOverdueByServer.get(serverId);
-    if (reported === undefined || nowMs - reported.receivedAtMs > OVERDUE_LIFETIME_MS) return;
-    total.overdueMs = Math.max(total.overdueMs, reported.overdueMs);
+    if (peers === undefined) return;
+    addRequests(total, peers.requests, 1);
+    total.shortShare += peers.shortMeter.getUtilization(nowMs);
+    total.longShare += peers.longMeter.getUtilization(nowMs);
+    for (const { dueAtMs } of peers.loadByPeer.values()) {
+      total.overdueMs = Math.max(total.overdueMs, nowMs - dueAtMs);
+    }
   }
 
-  #addToTotal(serverId: string, load: ServerLoad, sign: 1 | -1): void {
-    const total = this.totals.get(serverId) ?? { ...NO_LOAD };
-    addLoad(total, load, sign);
-    // Reports omit servers without requests below `MIN_REPORTED_UTILIZATION`, so a smaller rest is a rounding error.
-    if (total.waiting + total.streaming <= 0 && total.shortShare + total.longShare < 0.001) {
-      this.totals.delete(serverId);
-    } else {
-      this.totals.set(serverId, total);
-    }
+  #addToTotal(peerId: string, serverId: string, peerLoad: PeerLoad): void {
+    const { load, receivedAtMs } = peerLoad;
+    const total = this.totals.get(serverId) ?? makeServerTotal();
+    this.totals.set(serverId, total);
+    total.loadByPeer.set(peerId, peerLoad);
+    addRequests(total.requests, load, 1);
+    total.shortMeter.addUtilization(load.shortShare, receivedAtMs);
+    total.longMeter.addUtilization(load.longShare, receivedAtMs);
   }
 
-  #updateLongestOverdue(serverId: string, reported: ReportedOverdue): void {
-    const known = this.longestOverdueByServer.get(serverId);
-    const isReplaced =
-      known === undefined ||
-      known.peerId === reported.peerId ||
-      reported.overdueMs >= known.overdueMs ||
-      reported.receivedAtMs - known.receivedAtMs > OVERDUE_LIFETIME_MS;
-    if (isReplaced) this.longestOverdueByServer.set(serverId, reported);
+  #removeLoad(peerId: string, peer: Peer, serverId: string, nowMs: number): void {
+    const known = peer.loads.get(serverId);
+    const total = this.totals.get(serverId);
+    if (known === undefined || total === undefined) return;
+    peer.loads.delete(serverId);
+    total.loadByPeer.delete(peerId);
+    if (total.loadByPeer.size === 0) {
+      this.totals.delete(serverId);
+      return;
+    }
+    const decay = computeDecay(nowMs - known.receivedAtMs);
+    addRequests(total.requests, known.load, -1);
+    total.shortMeter.addUtilization(-known.load.shortShare * decay, nowMs);
+    total.longMeter.addUtilization(-known.load.longShare * decay, nowMs);
   }
 
   #expire(nowMs: number): void {
     if (nowMs - this.lastExpiryCheckAtMs < EXPIRY_CHECK_INTERVAL_MS) return;
     this.lastExpiryCheckAtMs = nowMs;
-    for (const [peerId, report] of this.reports) {
-      if (nowMs - report.receivedAtMs > REPORT_LIFETIME_MS) this.removePeer(peerId);
+    for (const [peerId, peer] of this.peers) {
+      if (nowMs - peer.heardAtMs > PEER_LIFETIME_MS) {
+        this.removePeer(peerId, nowMs);
+        continue;
+      }
+      for (const [serverId, { receivedAtMs }] of peer.loads) {
+        if (nowMs - receivedAtMs <= LOAD_LIFETIME_MS) break;
+        this.#removeLoad(peerId, peer, serverId, nowMs);
+      }
     }
   }
 }
+
+function makeServerTotal(): ServerTotal {
+  return {
+    requests: { ...NO_PLACED_LOAD },
+    shortMeter: new UtilizationMeter(),
+    longMeter: new UtilizationMeter(),
+    loadByPeer: new Map(),
+  };
+}
+
+function isNegligible({ waiting, streaming, shortShare, longShare }: ReportedLoad): boolean {
+  return waiting + streaming === 0 && shortShare + longShare < MIN_KEPT_UTILIZATION;
+}
--- a/packages/policy/src/placement/server-load.ts
+++ b/packages/policy/src/placement/server-load.ts
@@ -1,5 +1,5 @@
-/** Load that one instance, or all instances together, have put on a backend server. */
-export interface ServerLoad {
+/** Requests and utilization that one instance, or all instances together, have put on a backend server. */
+export interface PlacedLoad {
   /** Total prefill time of streams without a first event, in milliseconds. */
   queuedPrefillMs: number;
   /** Number of streams without a first event, plus non-streaming requests without a complete response. */
@@ -16,6 +16,10 @@
   shortShare: number;
   /** Recent utilization of the server by prefills of long prompts. */
   longShare: number;
+}
+
+/** Load of a backend server. */
+export interface ServerLoad extends PlacedLoad {
   /**
    * Time by which the most overdue waiting request has passed its expected first event (streams) or complete response
    * (non-streaming requests), in milliseconds; 0 if none is overdue.
@@ -23,7 +27,16 @@
   overdueMs: number;
 }
 
-export const NO_LOAD: ServerLoad = {
+/** Load of one instance on a backend server, as reported to its peers. It stays valid as time passes. */
+export interface ReportedLoad extends PlacedLoad {
+  /**
+   * Time until the earliest expected first event or complete response among the waiting requests, in milliseconds;
+   * negative if it is overdue, undefined without waiting requests.
+   */
+  dueInMs: number | undefined;
+}
+
+export const NO_PLACED_LOAD: PlacedLoad = {
   queuedPrefillMs: 0,
   waiting: 0,
   streaming: 0,
@@ -31,16 +44,15 @@
   heldTokens: 0,
   shortShare: 0,
   longShare: 0,
-  overdueMs: 0,
 };
 
-/** Adds a load to a total, or subtracts it if `sign` is -1. Leaves `overdueMs` unchanged, as it is a maximum. */
-export function addLoad(total: ServerLoad, load: ServerLoad, sign: 1 | -1): void {
-  total.queuedPrefillMs += sign * load.queuedPrefillMs;
-  total.waiting += sign * load.waiting;
-  total.streaming += sign * load.streaming;
-  total.pauseSensitive += sign * load.pauseSensitive;
-  total.heldTokens += sign * load.heldTokens;
-  total.shortShare += sign * load.shortShare;
-  total.longShare += sign * load.longShare;
+export const NO_LOAD: ServerLoad = { ...NO_PLACED_LOAD, overdueMs: 0 };
+
+/** Adds the requests of a load to a total, or subtracts them if `factor` is -1. Utilizations are left unchanged. */
+export function addRequests(total: PlacedLoad, load: PlacedLoad, factor: number): void {
+  total.queuedPrefillMs += factor * load.queuedPrefillMs;
+  total.waiting += factor * load.waiting;
+  total.streaming += factor * load.streaming;
+  total.pauseSensitive += factor * load.pauseSensitive;
+  total.heldTokens += factor * load.heldTokens;
 }
--- a/packages/policy/src/placement/utilization-meter.ts
+++ b/packages/policy/src/placement/utilization-meter.ts
@@ -7,11 +7,21 @@
   private updatedAtMs = 0;
 
   add(workMs: number, nowMs: number): void {
-    this.utilization = this.getUtilization(nowMs) + workMs / TIME_CONSTANT_MS;
+    this.addUtilization(workMs / TIME_CONSTANT_MS, nowMs);
+  }
+
+  /** Adds the utilization that another meter has at this time, or subtracts it if the value is negative. */
+  addUtilization(utilization: number, nowMs: number): void {
+    this.utilization = this.getUtilization(nowMs) + utilization;
     this.updatedAtMs = nowMs;
   }
 
   getUtilization(nowMs: number): number {
-    return this.utilization * Math.exp((this.updatedAtMs - nowMs) / TIME_CONSTANT_MS);
+    return this.utilization * computeDecay(nowMs - this.updatedAtMs);
   }
 }
+
+/** Factor by which a utilization decreases in this time without further work. */
+export function computeDecay(elapsedMs: number): number {
+  return Math.exp(-elapsedMs / TIME_CONSTANT_MS);
+}
--- a/packages/policy/test/placement/placement-fixture.ts
+++ b/packages/policy/test/placement/placement-fixture.ts
@@ -1,5 +1,11 @@
-import { DEFAULT_ENGINE_PROFILE, PromptLengthPartition, NO_LOAD } from '../../src';
-import type { PlacementOptions, ServerLoad, StreamCandidate, StreamRequest } from '../../src';
+import { DEFAULT_ENGINE_PROFILE, PromptLengthPartition, NO_LOAD, NO_PLACED_LOAD } from '../../src';
+import type {
+  PlacementOptions,
+  ReportedLoad,
+  ServerLoad,
+  StreamCandidate,
+  StreamRequest,
+} from '../../src';
 
 /** A chat stream: a short prompt and a tight pause target. */
 export const CHAT: StreamRequest = {
@@ -43,6 +49,11 @@
   return { ...NO_LOAD, ...overrides };
 }
 
+/** Load of a peer; none of its waiting requests has an expected first byte unless `dueInMs` says so. */
+export function makeReportedLoad(overrides: Partial<ReportedLoad> = {}): ReportedLoad {
+  return { ...NO_PLACED_LOAD, dueInMs: undefined, ...overrides };
+}
+
 export function makeCandidate(
   serverId: string,
   load: Partial<ServerLoad> = {},
--- a/packages/policy/test/placement/placement-state.test.ts
+++ b/packages/policy/test/placement/placement-state.test.ts
@@ -8,7 +8,7 @@
   SpeedTracker,
 } from '../../src';
 import type { PlacedRequest, ServerObservation } from '../../src';
-import { makeLoad } from './placement-fixture';
+import { makeReportedLoad } from './placement-fixture';
 
 function makePlacedRequest(overrides: Partial<PlacedRequest> = {}): PlacedRequest {
   return {
@@ -42,9 +42,9 @@
 
 test('the load of peers is added, and expires when they stop reporting', () => {
   const table = new LoadTable();
-  table.replacePeerReport(
+  table.mergePeerReport(
     'peer',
-    new Map([['a', makeLoad({ waiting: 2, queuedPrefillMs: 300 })]]),
+    new Map([['a', makeReportedLoad({ waiting: 2, queuedPrefillMs: 300 })]]),
     0,
   );
   table.add(makePlacedRequest(), 0);
@@ -55,8 +55,8 @@
 
 test("a peer's report replaces its previous one", () => {
   const table = new LoadTable();
-  table.replacePeerReport('peer', new Map([['a', makeLoad({ waiting: 2 })]]), 0);
-  table.replacePeerReport('peer', new Map([['a', makeLoad({ waiting: 1 })]]), 50);
+  table.mergePeerReport('peer', new Map([['a', makeReportedLoad({ waiting: 2 })]]), 0);
+  table.mergePeerReport('peer', new Map([['a', makeReportedLoad({ waiting: 1 })]]), 50);
   expect(table.getLoad('a', 60).waiting).toBe(1);
 });
 
@@ -64,11 +64,11 @@
   const table = new LoadTable();
   for (let round = 0; round < 50; round += 1) {
     for (let peer = 0; peer < 20; peer += 1) {
-      const load = makeLoad({
+      const load = makeReportedLoad({
         waiting: (round + peer) % 3,
         queuedPrefillMs: 10 * ((round + peer) % 3),
       });
-      table.replacePeerReport(`peer-${peer}`, new Map([['a', load]]), round);
+      table.mergePeerReport(`peer-${peer}`, new Map([['a', load]]), round);
     }
   }
   const waiting = Array.from({ length: 20 }, (_, peer) => (49 + peer) % 3).reduce(
@@ -76,18 +76,75 @@
     0,
   );
   expect(table.getLoad('a', 50)).toMatchObject({ waiting, queuedPrefillMs: 10 * waiting });
-  table.removePeer('peer-0');
+  table.removePeer('peer-0', 50);
   expect(table.getLoad('a', 50).waiting).toBe(waiting - (49 % 3));
 });
 
+// Guards against a server that stops responding and seems responsive until the peer's next report.
+test("a peer's request that is due becomes overdue as time passes", () => {
+  const table = new LoadTable();
+  table.mergePeerReport(
+    'peer',
+    new Map([['a', makeReportedLoad({ waiting: 1, dueInMs: 300 })]]),
+    0,
+  );
+  expect(table.getLoad('a', 200).overdueMs).toBe(0);
+  expect(table.getLoad('a', 1_000).overdueMs).toBe(700);
+});
+
+// Guards against load that is dropped because a report does not repeat it.
+test("a peer's report leaves its load on other servers as it was", () => {
+  const table = new LoadTable();
+  table.mergePeerReport('peer', new Map([['a', makeReportedLoad({ waiting: 2 })]]), 0);
+  table.mergePeerReport('peer', new Map([['b', makeReportedLoad({ waiting: 1 })]]), 50);
+  table.mergePeerReport('peer', new Map(), 100);
+  expect(table.getLoad('a', 100).waiting).toBe(2);
+  expect(table.getLoad('b', 100).waiting).toBe(1);
+});
+
+// Guards against load that stays forever when the report of its end is lost and the peer goes on reporting.
+test('a load that its peer does not repeat expires', () => {
+  const table = new LoadTable();
+  table.mergePeerReport('peer', new Map([['a', makeReportedLoad({ waiting: 2 })]]), 0);
+  for (let nowMs = 500; nowMs <= 6_000; nowMs += 500) {
+    table.mergePeerReport('peer', new Map([['b', makeReportedLoad({ waiting: 1 })]]), nowMs);
+  }
+  expect(table.getLoad('a', 6_000).waiting).toBe(0);
+  expect(table.getLoad('b', 6_000).waiting).toBe(1);
+});
+
+// Guards against utilization that is reported again and again as it decays, or that peers keep too high.
+test("a peer's utilization decays between its reports and is replaced by the next", () => {
+  const table = new LoadTable();
+  const meter = new UtilizationMeter();
+  meter.add(600, 0);
+  const report = (nowMs: number) =>
+    new Map([['a', makeReportedLoad({ waiting: 1, longShare: meter.getUtilization(nowMs) })]]);
+  table.mergePeerReport('peer', report(0), 0);
+  expect(table.getLoad('a', 900).longShare).toBeCloseTo(meter.getUtilization(900), 6);
+  meter.add(300, 1_000);
+  table.mergePeerReport('other', report(0), 500);
+  table.mergePeerReport('peer', report(1_000), 1_000);
+  table.removePeer('other', 1_200);
+  expect(table.getLoad('a', 1_400).longShare).toBeCloseTo(meter.getUtilization(1_400), 6);
+});
+
 // Guards against an overdue server that seems responsive because another peer reports a shorter overdue time.
 test("a peer's overdue time is replaced by the peer's next report, but not by another peer's shorter one", () => {
   const table = new LoadTable();
-  table.replacePeerReport('peer', new Map([['a', makeLoad({ waiting: 1, overdueMs: 400 })]]), 0);
-  table.replacePeerReport('other', new Map([['a', makeLoad({ waiting: 1, overdueMs: 10 })]]), 50);
-  expect(table.getLoad('a', 100).overdueMs).toBe(400);
-  table.replacePeerReport('peer', new Map([['a', makeLoad({ waiting: 1 })]]), 150);
-  expect(table.getLoad('a', 200).overdueMs).toBe(0);
+  table.mergePeerReport(
+    'peer',
+    new Map([['a', makeReportedLoad({ waiting: 1, dueInMs: -400 })]]),
+    0,
+  );
+  table.mergePeerReport(
+    'other',
+    new Map([['a', makeReportedLoad({ waiting: 1, dueInMs: -10 })]]),
+    50,
+  );
+  expect(table.getLoad('a', 100).overdueMs).toBe(500);
+  table.mergePeerReport('peer', new Map([['a', makeReportedLoad({ waiting: 1 })]]), 150);
+  expect(table.getLoad('a', 200).overdueMs).toBe(160);
 });
 
 // Guards against a server that counts as busy long after its work has ended.
