Divide large fleets into groups that report loads to each other

Callers would see: with 300 or 530 instances, placement by loads that are seconds old, as the limit on report bytes stretches the interval between reports.

Cause: each instance reports to all others, so a report costs as many datagrams as there are instances, and their number times the rate is bounded.

Change: above 96 instances all instances derive equal groups from the announced list. Members report to each other only. The servers of a large service are divided between the groups; a service with less than 8 servers a group is used by all, and the loads that members report are extrapolated to all instances. A list that changes by one entry moves at most one entry across each border, and groups are merged only at 80% of the size at which they were divided. When no server of the group is left to try, the others are tried.

Why it works: a group has at most 96 members and 1/groups of the servers, so neither the cost nor the age of a report depends on the size of the fleet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import {
   createRetryBudget,
   FailureTracker,
+  InstanceGroups,
   LoadTable,
   PrefixCacheTracker,
   SpeedTracker,
@@ -91,6 +92,7 @@
     const loads = new LoadTable();
     const prefixes = new PrefixCacheTracker();
     const failures = new FailureTracker();
+    const groups = new InstanceGroups(settings.instanceId);
     const countInstances = () => Math.max(1, this.storeWatchers.countInstances());
     const { speeds } = this;
     this.context = {
@@ -117,6 +119,7 @@
         prefixes,
         failures,
         speeds,
+        groups,
       }),
       getRouteTable: () => this.routeTable,
       reportPrompt: (serverId, parts) => {
@@ -145,7 +148,8 @@
         this.#applyBundle(bundle, revision);
       },
       onInstances: (instances) => {
-        this.loadReporter.setPeers(instances);
+        groups.update(instances.map(({ instanceId }) => instanceId));
+        this.loadReporter.setPeers(groups.selectMembers(instances));
       },
     });
     this.deferredRemovalTimer = setInterval(() => {
--- a/packages/gateway/src/server-chooser.ts
+++ b/packages/gateway/src/server-chooser.ts
@@ -9,6 +9,7 @@
 import type {
   EngineProfile,
   FailureTracker,
+  InstanceGroups,
   LoadTable,
   PlacementOptions,
   PrefixCacheTracker,
@@ -61,6 +62,20 @@
   prefixes: PrefixCacheTracker;
   failures: FailureTracker;
   speeds: SpeedTracker;
+  groups: InstanceGroups;
+}
+
+/** Servers to choose from. */
+interface ServerChoices {
+  servers: readonly BackendServer[];
+  /** Factor from the load that peers report to the load of all other instances. */
+  peerFactor: number;
+}
+
+/** Servers of a service that this instance's group uses, with the state of the lists that they were selected from. */
+interface GroupServers extends ServerChoices {
+  registryChanges: number;
+  groupChanges: number;
 }
 
 /** Pause target of services and routes that state none, in milliseconds. */
@@ -69,18 +84,42 @@
 /** Chooses backend servers by load, prefix cache contents, speed and failures. */
 export class ServerChooser {
   private readonly partitions = new Map<string, PromptLengthPartition>();
+  private readonly groupServers = new Map<string, GroupServers>();
 
   constructor(private readonly options: ServerChooserOptions) {}
 
   /** Chooses a ready server that is not excluded; undefined when there is none. */
   choose(request: ServerChoiceRequest, nowMs: number): ServerChoice | undefined {
-    const servers = this.options.registry
-      .listReady(request.serviceName)
-      .filter((server) => !request.excludedServerIds.has(server.serverId));
+    const isUntried = ({ serverId }: BackendServer) => !request.excludedServerIds.has(serverId);
+    const group = this.#selectGroupServers(request.serviceName);
+    const untried = group.servers.filter(isUntried);
+    const servers =
+      untried.length > 0
+        ? untried
+        : this.options.registry.listReady(request.serviceName).filter(isUntried);
     if (servers.length === 0) return undefined;
     return request.route.kind === 'stream'
-      ? this.#chooseForStream(request, servers, nowMs)
-      : this.#chooseForPlainRequest(servers, nowMs);
+      ? this.#chooseForStream(request, { servers, peerFactor: group.peerFactor }, nowMs)
+      : this.#chooseForPlainRequest({ servers, peerFactor: group.peerFactor }, nowMs);
+  }
+
+  /** Selects the ready servers that the group of this instance uses; the selection is kept until the lists change. */
+  #selectGroupServers(serviceName: string): GroupServers {
+    const { registry, groups } = this.options;
+    const known = this.groupServers.get(serviceName);
+    const registryChanges = registry.countChanges();
+    const groupChanges = groups.countChanges();
+    const isCurrent =
+      known?.registryChanges === registryChanges && known.groupChanges === groupChanges;
+    if (isCurrent) return known;
+    const ready = registry.listReady(serviceName);
+    const selected = {
+      servers: groups.selectServers(ready),
+      peerFactor: groups.isDivided(ready.length) ? 1 : groups.getPeerFactor(),
+      ...{ registryChanges, groupChanges },
+    };
+    this.groupServers.set(serviceName, selected);
+    return selected;
   }
 
   /** Records the time to the first event at a server whose queue was empty. */
@@ -100,7 +139,7 @@
 
   #chooseForStream(
     request: ServerChoiceRequest,
-    servers: readonly BackendServer[],
+    { servers, peerFactor }: ServerChoices,
     nowMs: number,
   ): ServerChoice | undefined {
     const { loads, prefixes, failures, speeds } = this.options;
@@ -128,7 +167,7 @@
       return {
         server,
         serverId,
-        load: loads.getLoad(serverId, nowMs),
+        load: loads.getLoad(serverId, nowMs, peerFactor),
         cachedTokens: prefixes.countCachedTokens(serverId, head.parts, nowMs),
         fetchableTokens: prefixes.countFetchableTokens(serverId, head.parts, nowMs),
         slowness: slowness.get(serverId) ?? 1,
@@ -161,14 +200,14 @@
   }
 
   #chooseForPlainRequest(
-    servers: readonly BackendServer[],
+    { servers, peerFactor }: ServerChoices,
     nowMs: number,
   ): ServerChoice | undefined {
     const { loads, failures, speeds, failureDomain } = this.options;
     const candidates = servers.map((server) => ({
       server,
       serverId: server.serverId,
-      load: loads.getLoad(server.serverId, nowMs),
+      load: loads.getLoad(server.serverId, nowMs, peerFactor),
       slots: server.slots,
       responseMs: speeds.getResponseMs(server.serverId, nowMs),
       failureRate: failures.getFailureRate(server.serverId, nowMs),
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -18,9 +18,15 @@
   /** Due time of each deferred removal by server id, in milliseconds of the monotonic clock. */
   private readonly deferredRemovals = new Map<string, number>();
   private graceEndsAtMs = -Infinity;
+  private changeCount = 0;
 
   constructor(private readonly onChange: (change: ServerChange) => void) {}
 
+  /** Increases with each change of a server, so that what is derived from the servers can be kept until then. */
+  countChanges(): number {
+    return this.changeCount;
+  }
+
   /** Starts the grace period for removals, once the store is reachable again after an outage. */
   startRemovalGrace(nowMs: number): void {
     this.graceEndsAtMs = nowMs + REMOVAL_GRACE_MS;
@@ -30,6 +36,7 @@
     this.deferredRemovals.delete(server.serverId);
     const previous = this.servers.get(server.serverId);
     this.servers.set(server.serverId, server);
+    this.changeCount += 1;
     if (previous === undefined) {
       this.onChange({ kind: 'added', server });
       return;
@@ -51,6 +58,7 @@
     }
     this.deferredRemovals.delete(serverId);
     this.servers.delete(serverId);
+    this.changeCount += 1;
     this.onChange({ kind: 'removed', server });
   }
 
--- a/packages/policy/src/placement/index.ts
+++ b/packages/policy/src/placement/index.ts
@@ -1,6 +1,7 @@
 export * from './engine-profile';
 export * from './failure-tracker';
 export * from './prompt-length-partition';
+export * from './instance-groups';
 export * from './load-changes';
 export * from './load-table';
 export * from './prefix-cache-tracker';
--- a/packages/policy/src/placement/load-table.ts
+++ b/packages/policy/src/placement/load-table.ts
@@ -96,15 +96,19 @@
     };
   }
 
-  /** Total load of a server from all instances. */
-  getLoad(serverId: string, nowMs: number): ServerLoad {
+  /**
+   * Total load of a server from all instances.
+   *
+   * @param peerFactor factor from the load of the peers that report to this instance to that of all other instances
+   */
+  getLoad(serverId: string, nowMs: number, peerFactor = 1): ServerLoad {
     const server = this.local.get(serverId);
     const total = { ...NO_LOAD };
     if (server !== undefined) {
       Object.assign(total, summarizeServer(server, nowMs));
       total.overdueMs = Math.max(0, nowMs - (findEarliestDue(server) ?? Infinity));
     }
-    this.peers.addTo(total, serverId, nowMs);
+    this.peers.addTo(total, serverId, nowMs, peerFactor);
     return total;
   }
 }
--- a/packages/policy/src/placement/peer-loads.ts
+++ b/packages/policy/src/placement/peer-loads.ts
@@ -65,14 +65,14 @@
     }
   }
 
-  /** Adds the load that peers have put on a server to `total`. */
-  addTo(total: ServerLoad, serverId: string, nowMs: number): void {
+  /** Adds the load that peers have put on a server to `total`, multiplied by `factor`. */
+  addTo(total: ServerLoad, serverId: string, nowMs: number, factor: number): void {
     this.#expire(nowMs);
     const peers = this.totals.get(serverId);
     if (peers === undefined) return;
-    addRequests(total, peers.requests, 1);
-    total.shortShare += peers.shortMeter.getUtilization(nowMs);
-    total.longShare += peers.longMeter.getUtilization(nowMs);
+    addRequests(total, peers.requests, factor);
+    total.shortShare += factor * peers.shortMeter.getUtilization(nowMs);
+    total.longShare += factor * peers.longMeter.getUtilization(nowMs);
     for (const { dueAtMs } of peers.loadByPeer.values()) {
       total.overdueMs = Math.max(total.overdueMs, nowMs - dueAtMs);
     }
