Move the traffic log into a file of its own

Cause: traffic-meter.ts held two classes with different jobs. Change: TrafficLog moves to traffic-log.ts; nothing else changes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,7 +29,7 @@
 import { INSTANCE_KIND, StoreWatchers } from './store-watchers';
 import type { ObjectDecoders } from './store-watchers';
 import type { ObjectStore } from './object-store';
-import { TrafficLog } from './traffic-meter';
+import { TrafficLog } from './traffic-log';
 import type { TrafficMeter } from './traffic-meter';
 
 export interface GatewayOptions {
