Test which servers an instance tries when it is in a group

Cause: the fallback to the servers of other groups, the kept selection and the extrapolated load of a shared service had no test of their own.

--- /dev/null
+++ b/packages/gateway/test/server-chooser.test.ts
@@ -0,0 +1,104 @@
+import {
+  FailureTracker,
+  InstanceGroups,
+  LoadTable,
+  NO_PLACED_LOAD,
+  PrefixCacheTracker,
+  SpeedTracker,
+} from '@pollendrum/policy';
+import { expect, test } from 'vitest';
+import { HeaderCodec } from '../src/header-codec';
+import { ServerChooser } from '../src/server-chooser';
+import { ServerRegistry } from '../src/server-registry';
+import { HEADER_NAMES, makeRoute, makeServer } from './gateway-fixture';
+
+const SERVICE = 'desk';
+const makeIds = (prefix: string, count: number) =>
+  Array.from({ length: count }, (_, index) => `${prefix}-${index}`);
+
+/** Makes the chooser of the first of `instanceCount` instances for a service with `serverCount` servers. */
+function makeChooser(instanceCount: number, serverCount: number) {
+  const registry = new ServerRegistry(() => undefined);
+  const servers = makeIds('i', serverCount).map((serverId) => makeServer(serverId, SERVICE, 1));
+  for (const server of servers) registry.put(server);
+  const groups = new InstanceGroups('entry-0');
+  groups.update(makeIds('entry', instanceCount));
+  const loads = new LoadTable();
+  const chooser = new ServerChooser({
+    ...{ failureDomain: 'local', registry, loads, groups },
+    prefixes: new PrefixCacheTracker(),
+    failures: new FailureTracker(),
+    speeds: new SpeedTracker(),
+  });
+  const chooseServer = (excludedServerIds: ReadonlySet<string>): string | undefined => {
+    const route = makeRoute({ services: [{ service: SERVICE, weight: 1 }] });
+    const head = new HeaderCodec(HEADER_NAMES).decodeRequest({});
+    const request = { route, head, serviceName: SERVICE, service: undefined, remainingMs: 1_000 };
+    return chooser.choose({ ...request, tightestPauseTargetMs: undefined, excludedServerIds }, 0)
+      ?.server.serverId;
+  };
+  const listGroup = () => groups.selectServers(servers).map(({ serverId }) => serverId);
+  return { chooseServer, registry, groups, loads, listGroup };
+}
+
+/** Chooses servers as for a request that is sent again and again, until none is left. */
+function chooseAll(chooseServer: (tried: ReadonlySet<string>) => string | undefined): string[] {
+  const tried = new Set<string>();
+  for (;;) {
+    const serverId = chooseServer(tried);
+    if (serverId === undefined) return [...tried];
+    tried.add(serverId);
+  }
+}
+
+// Guards against requests that fail because only the servers of the instance's group were tried.
+test.each([
+  { instances: 9, servers: 24, inGroup: 24 },
+  { instances: 100, servers: 24, inGroup: 8 },
+  { instances: 100, servers: 6, inGroup: 6 },
+])(
+  'with $instances instances, $inGroup of $servers servers are tried first and then the others',
+  ({ instances, servers, inGroup }) => {
+    const { chooseServer, listGroup } = makeChooser(instances, servers);
+    const chosen = chooseAll(chooseServer);
+    expect(new Set(chosen.slice(0, inGroup))).toEqual(new Set(listGroup()));
+    expect(chosen).toHaveLength(servers);
+  },
+);
+
+// Guards against servers that are chosen although they are no longer listed, or never chosen after they were added.
+test('a change of the servers or the instances takes effect with the next request', () => {
+  const { chooseServer, registry, groups } = makeChooser(9, 2);
+  expect(chooseAll(chooseServer)).toHaveLength(2);
+  registry.remove('i-0', 0);
+  expect(chooseAll(chooseServer)).toEqual(['i-1']);
+  for (const serverId of makeIds('j', 30)) registry.put(makeServer(serverId, SERVICE, 1));
+  expect(chooseAll(chooseServer)).toHaveLength(31);
+  groups.update(makeIds('entry', 100));
+  const own = groups.selectServers(registry.listReady(SERVICE)).map(({ serverId }) => serverId);
+  expect(own.length).toBeLessThan(12);
+  expect(new Set(chooseAll(chooseServer).slice(0, own.length))).toEqual(new Set(own));
+});
+
+// Guards against overload of a small service, of which an instance sees only the load of its own group.
+test.each([
+  { instances: 9, expected: 'i-1' },
+  { instances: 100, expected: 'i-0' },
+])(
+  'with $instances instances, load of peers at a shared service counts for all groups',
+  ({ instances, expected }) => {
+    const { chooseServer, loads } = makeChooser(instances, 2);
+    const idle = { ...NO_PLACED_LOAD, dueInMs: undefined };
+    loads.mergePeerReport('entry-1', new Map([['i-1', { ...idle, waiting: 2 }]]), 0);
+    for (let index = 0; index < 4; index += 1) {
+      loads.add(
+        {
+          ...{ serverId: 'i-0', prefillMs: 0, heldTokens: 0, isPauseSensitive: false },
+          ...{ hasLongPrompt: false, expectedFirstByteAtMs: 100, isStreaming: false },
+        },
+        0,
+      );
+    }
+    expect(chooseServer(new Set())).toBe(expected);
+  },
+);
