Say when instances may derive different groups

Cause: the comment of InstanceGroups promised equal groups on all instances, but the number of groups depends on the sizes that an instance has seen. The comment of the group size gave a reason that holds for much larger groups only.

--- a/packages/policy/src/placement/instance-groups.ts
+++ b/packages/policy/src/placement/instance-groups.ts
@@ -1,9 +1,6 @@
 import { hashName } from '../rendezvous';
 
-/**
- * Largest number of instances that report their loads to each other. Above it the reports would take more of a link than
- * the requests, or be seconds old.
- */
+/** Largest number of instances that report their loads to each other; more would need older or more costly reports. */
 const MAX_GROUP_SIZE = 48;
 /** Groups are merged only when they would be this much smaller than the maximum, so that one restart changes nothing. */
 const MERGE_SHARE = 0.8;
@@ -12,8 +9,9 @@
 
 /**
  * Divides the instances into groups that report their loads to each other, and the servers of large services between
- * the groups. All instances derive the same groups from the same lists, and a list that changes by one entry moves at
- * most one entry across each border.
+ * the groups. Instances derive the same groups from the same lists, and a list that changes by one entry moves at most
+ * one entry across each border. After the fleet has shrunk to between the sizes of merging and dividing, an instance that
+ * starts may count one group less than the others; it then knows the loads of its servers only in part.
  */
 export class InstanceGroups {
   private groupCount = 1;
