Test answers that lack the id of their request

A success without an id reaches the wrong caller. All ids are echoed, so such an answer belongs to no known request.

--- a/packages/gateway/test/gateway-fixture.ts
+++ b/packages/gateway/test/gateway-fixture.ts
@@ -258,6 +258,8 @@
   key?: string;
   headers?: Record<string, string>;
   body?: string;
+  /** Sends no request id. */
+  omitsRequestId?: boolean;
   /** The caller disconnects when this resolves. */
   disconnectAfter?: Promise<void>;
 }
@@ -283,7 +285,7 @@
         headers: {
           host: 'shop.test',
           authorization: `Bearer ${options.key ?? 'key-a'}`,
-          'Test-Attempt': 'attempt-1',
+          ...(options.omitsRequestId ? {} : { 'Test-Attempt': 'attempt-1' }),
           'Test-Remaining': '2000',
           ...options.headers,
         },
--- a/packages/gateway/test/raw-backend.ts
+++ b/packages/gateway/test/raw-backend.ts
@@ -11,8 +11,15 @@
   crash(resetsConnections?: boolean): Promise<void>;
 }
 
-/** Starts a TCP server on the loopback interface; the handler of a test writes the bytes of the response. */
-export async function startRawBackend(handler: RawHandler): Promise<RawBackend> {
+/**
+ * Starts a TCP server on the loopback interface; the handler of a test writes the bytes of the response.
+ *
+ * @param handleConnection called for each new connection, before a request arrives
+ */
+export async function startRawBackend(
+  handler: RawHandler,
+  handleConnection: (socket: Socket) => void = () => undefined,
+): Promise<RawBackend> {
   const sockets = new Set<Socket>();
   let connections = 0;
   const server = createServer((socket) => {
@@ -21,6 +28,7 @@
     let received = '';
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
+    handleConnection(socket);
     socket.on('data', (chunk) => {
       received += chunk.toString('latin1');
       if (!received.includes('\r\n\r\n')) return;
