Treat an answer without the request's id as foreign

What callers saw: while a server wrote earlier refusals once more on kept connections, without an id, orders got 503 though the server ran them (REFUSED), or were sent to a second server while the first one ran them (TWICE). A success without an id was passed on to the wrong caller (MIXED).

Cause: decodeResponse compared the ids only if the answer had one. A not-run header or a 421 without an id then counted as proof, and a signed success as the request's own.

Change: if the request has an id, an answer without it is foreign, like one with another id: an order gets 502, lookups and resumable streams are repeated. Nothing changes for requests without an id.

plain-requests.test.ts and streams.test.ts: the 421 and the refusal of a stream lacked the id that servers echo; these stand-ins now write it, and their checks are unchanged.

--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -3,7 +3,7 @@
 
 /** Names of the headers that the gateway reads and sets on requests and responses. */
 export interface HeaderNames {
-  /** Id that the caller gives the request; a response with another id belongs to another request. */
+  /** Id that the caller gives the request; a response with another id, or without it, belongs to another request. */
   requestId: string;
   /** Time left for the request, in milliseconds. */
   remainingMs: string;
@@ -55,8 +55,8 @@
 }
 
 /**
- * Decoded headers of a backend server's response. A `foreign` response belongs to another request or has a content
- * encoding, and must not be forwarded. `isSigned`: a signature is present; it is not verified.
+ * Decoded headers of a backend server's response. A `foreign` response belongs to another request, lacks the request's
+ * id or has a content encoding, and must not be forwarded. `isSigned`: a signature is present; it is not verified.
  */
 export type DecodedResponse =
   | { kind: 'not-run'; status: number }
@@ -171,7 +171,12 @@
     return isLeaving ? { kind: 'leaving' } : { kind: 'invalid', text };
   }
 
-  /** Decodes the headers of a response and checks its request id; the signature is only checked for presence. */
+  /**
+   * Decodes the headers of a response and checks its request id; the signature is only checked for presence. Servers
+   * echo the id in all responses, so one without the id proves nothing about a request that has one.
+   *
+   * @param requestId undefined when the request has none; the response's id is then not checked
+   */
   decodeResponse(
     status: number,
     headers: NodeJS.Dict<string | string[]>,
@@ -179,12 +184,12 @@
   ): DecodedResponse {
     const read = (name: string) => headers[name.toLowerCase()];
     const responseRequestId = read(this.names.requestId);
-    if (
-      responseRequestId !== undefined &&
-      requestId !== undefined &&
-      responseRequestId !== requestId
-    ) {
-      return { kind: 'foreign', reason: 'the answer belongs to another request' };
+    if (requestId !== undefined && responseRequestId !== requestId) {
+      const reason =
+        responseRequestId === undefined
+          ? 'the answer has no request id'
+          : 'the answer belongs to another request';
+      return { kind: 'foreign', reason };
     }
     if (read(this.names.notRun) !== undefined || status === MISDIRECTED_REQUEST) {
       return { kind: 'not-run', status };
--- a/packages/gateway/test/plain-requests.test.ts
+++ b/packages/gateway/test/plain-requests.test.ts
@@ -59,7 +59,7 @@
   {
     name: 'an order that reaches the wrong server and gets 421 is retried at another server',
     path: '/orders/1',
-    first: (socket) => writeResponse(socket, '421 Misdirected', '', ''),
+    first: (socket) => writeResponse(socket, '421 Misdirected', 'test-attempt: attempt-1\r\n', ''),
     status: 200,
     sendCount: 2,
   },
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -128,7 +128,9 @@
     name: 'a stream that the server refused to run is retried at another server',
     path: '/chat/1',
     first: (socket) =>
-      socket.write('HTTP/1.1 503 Full\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
+      socket.write(
+        'HTTP/1.1 503 Full\r\ntest-not-run: 1\r\ntest-attempt: attempt-1\r\ncontent-length: 0\r\n\r\n',
+      ),
     status: 200,
     body: ALL_EVENTS,
     isComplete: true,
