--- a/packages/gateway/test/repeated-refusals.test.ts
+++ b/packages/gateway/test/repeated-refusals.test.ts
@@ -2,7 +2,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, test } from 'vitest';
 import { FakeStore } from './fake-store';
-import { makeBundle, makeServer, sendRequest, startTwoServerGateway } from './gateway-fixture';
+import {
+  makeBundle,
+  makeServer,
+  sendRequest,
+  startTestGateway,
+  startTwoServerGateway,
+} from './gateway-fixture';
 import { startGatewayFleet } from './gateway-fleet';
 import { startRawBackend } from './raw-backend';
 import type { RawHandler } from './raw-backend';
@@ -186,6 +192,92 @@
   expect(running.countReceived()).toBe(2);
 });
 
+const LATE_MS = 100;
+
+interface OutOfStepCase {
+  name: string;
+  /** Written in place of the answer to the first order, whose own answer follows. */
+  foreign: string;
+  omitsRequestId: boolean;
+}
+
+// Guards against the late answer of one request that the next request on the connection gets.
+test.each<OutOfStepCase>([
+  {
+    name: 'a refusal of another order, then an order',
+    foreign: `${REFUSAL}test-attempt: other\r\ncontent-length: 0\r\n\r\n`,
+    omitsRequestId: false,
+  },
+  {
+    name: 'a refusal of another order, then an order without an id',
+    foreign: `${REFUSAL}test-attempt: other\r\ncontent-length: 0\r\n\r\n`,
+    omitsRequestId: true,
+  },
+  {
+    name: 'a refusal without an id, then an order',
+    foreign: `${REFUSAL}content-length: 0\r\n\r\n`,
+    omitsRequestId: false,
+  },
+  {
+    name: 'a success of another order whose body does not end, then an order',
+    foreign: `HTTP/1.1 200 OK\r\n${SIGNATURE}test-attempt: other\r\ncontent-length: 9\r\n\r\nth`,
+    omitsRequestId: false,
+  },
+])('a connection out of step is closed: $name', async ({ foreign, omitsRequestId }) => {
+  await using backend = await startRawBackend((socket, request) => {
+    const id = /test-attempt: (\S+)/i.exec(request)?.[1];
+    const idHeader = id === undefined ? '' : `test-attempt: ${id}\r\n`;
+    const answer = makeAnswer(SIGNATURE + idHeader, id ?? 'none');
+    if (id === 'first') socket.write(foreign);
+    void sleep(LATE_MS).then(() => socket.write(answer));
+  });
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port)],
+  });
+  const first = await sendRequest(running.callerPort, '/orders/1', {
+    headers: { 'Test-Attempt': 'first' },
+  });
+  expect(first.status).toBe(502);
+  const second = await sendRequest(running.callerPort, '/orders/2', { omitsRequestId });
+  expect(second).toMatchObject({ status: 200, body: omitsRequestId ? 'none' : 'attempt-1' });
+  expect(backend.countAcceptedConnections()).toBe(2);
+});
+
+// Guards against a refusal with the right id that is repeated to the second attempt of the request.
+test('an order that is sent again takes a connection of another server, also at the same address', async () => {
+  const sockets = new Set<Socket>();
+  await using backend = await startRawBackend((socket) => {
+    const isFirst = sockets.size === 0;
+    sockets.add(socket);
+    const refusal = `${REFUSAL}${OWN_ID}content-length: 0\r\n\r\n`;
+    socket.write(isFirst ? refusal.repeat(2) : makeAnswer(SIGNATURE + OWN_ID, 'own'));
+  });
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port), makeServer('two', 'desk', backend.port)],
+  });
+  expect((await sendRequest(running.callerPort, '/orders/1')).status).toBe(200);
+  expect(backend.countAcceptedConnections()).toBe(2);
+});
+
+// Guards against a refusal that was written before the request and is taken for its answer.
+test('a refusal that a server writes when a connection opens proves nothing', async () => {
+  let received = 0;
+  await using backend = await startRawBackend(
+    () => {
+      received += 1;
+    },
+    (socket) => {
+      socket.write(`${REFUSAL}content-length: 0\r\n\r\n`);
+    },
+  );
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port)],
+  });
+  const response = await sendRequest(running.callerPort, '/orders/1');
+  expect(response.status).toBe(502);
+  expect(received).toBeLessThanOrEqual(1);
+});
+
 const LOAD_DURATION_MS = 4_000;
 const ORDER_INTERVAL_MS = 33;
 const RUN_MS = 60;
