Forward no answer of another content type as events

What callers saw: the text or JSON of a signed 200 in the middle of their stream, which could also end as if it were complete; as a first answer it was forwarded in pieces, with another server's pieces after it.

Cause: a response counted as an event stream if it was a signed 200, whatever its content type.

Change: the content type has to be text/event-stream. Another signed 200 is handled like any other answer that is not an event stream: forwarded whole before the first event, and a reason to truncate the stream after it. A response without a content type still counts as an event stream; its text is not checked by this.

--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -8,6 +8,7 @@
 import { resolveAttemptOutcome } from './attempt-outcome';
 
 const OK = 200;
+const EVENT_STREAM_TYPE = /^\s*text\/event-stream\s*(;|$)/i;
 
 /** Result of one attempt of a stream. */
 export type StreamAttemptResult =
@@ -105,7 +106,9 @@
   }
 
   #isStream(): boolean {
-    return this.decoded?.kind === 'answer' && this.decoded.isSigned && this.decoded.status === OK;
+    const isSuccess =
+      this.decoded?.kind === 'answer' && this.decoded.isSigned && this.decoded.status === OK;
+    return isSuccess && this.head !== undefined && hasEventStreamType(this.head);
   }
 
   #recordFirstEvent(): void {
@@ -180,6 +183,12 @@
   }
 }
 
+/** Whether the content type is an event stream; a response without a content type counts as one. */
+function hasEventStreamType({ headers }: ResponseHead): boolean {
+  const type = headers['content-type'];
+  return type === undefined || EVENT_STREAM_TYPE.test(Array.isArray(type) ? type.join() : type);
+}
+
 /** Whether the end of a response is marked by a length or by chunks, rather than by the end of its connection. */
 function isFramed({ headers }: ResponseHead): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
