List error text inside event streams as known red

A response with the head of an event stream whose body contains text, JSON, or the whole head of an error response. The text up to an empty line is forwarded as an event.

--- a/packages/gateway/test/resumed-stream-contents.test.ts
+++ b/packages/gateway/test/resumed-stream-contents.test.ts
@@ -6,8 +6,11 @@
   SIGNED,
   makeEvents,
   createAnswer,
+  createStream,
   createUnframedStream,
+  resumeAll,
   TEXT,
+  RAW_ERROR,
   startCase,
   sendPlan,
   checkSoundStream,
@@ -49,3 +52,25 @@
   expect(response).toMatchObject({ status: 200, isComplete: true, body: `${ERROR_TEXT}end` });
   expect(response.headers['test-signature']).toBe('second');
 });
+
+// Guards against the head and the text of an error, written into the body of an event stream, that callers get as events.
+test.each(
+  listCombinations([
+    {
+      name: 'an error head after some events',
+      handle: createUnframedStream((last) => makeEvents(last + 1, last + 1) + RAW_ERROR),
+    },
+    { name: 'an error head', handle: createUnframedStream(() => RAW_ERROR) },
+    { name: 'an error head in a chunk', handle: createStream(() => RAW_ERROR) },
+    { name: 'text', handle: createUnframedStream(() => ERROR_TEXT) },
+    {
+      name: 'JSON after some events',
+      handle: createStream((last) => `${makeEvents(last + 1, last + 1)}{"error":"failed"}\n\n`),
+    },
+  ]),
+)('$name: text in an event stream is not forwarded', async ({ first, second }) => {
+  await using running = await startCase([first, second, resumeAll]);
+  const response = await sendPlan(running.callerPort);
+  checkSoundStream(response);
+  expect(response.isComplete).toBe(true);
+});
