Forward no text that is not an event

What callers saw: the head and the text of an error, or JSON, in the middle of their stream. Without a length the stream then ended as if it were complete.

Cause: the splitter took all bytes up to an empty line for events and looked at no line. The head of a response ends with an empty line.

Change: each line has to be a comment or begin with a field's name and a colon, and an event has to have a field of the standard. Events before the first other text are forwarded; the attempt then counts as broken, so that a resumable stream goes on at another server. Further fields beside those of the standard stay allowed.

--- a/packages/gateway/src/event-splitter.ts
+++ b/packages/gateway/src/event-splitter.ts
@@ -1,9 +1,17 @@
 const LINE_FEED = 0x0a;
+/** A comment, `name: value`, or the name of a field without a value; a byte order mark may precede it. */
+const FIELD_LINE =
+  /^(?:\u00ef\u00bb\u00bf)?(?:(?<name>[\w!#$%&'*+.^`|~-]*):|(?<bareName>data|id|event|retry)$)/;
+const STANDARD_FIELDS: ReadonlySet<string> = new Set(['data', 'id', 'event', 'retry']);
 
-/** Complete events of a stream and the last event id among them. */
+/** Complete events of a stream. */
 export interface EventBatch {
   bytes: Buffer;
   lastEventId: string | undefined;
+  /** Ids of the events with a data or id field; undefined for an event without an id. */
+  ids: (string | undefined)[];
+  /** Whether text follows that is not an event, such as the head of another response. It is not part of `bytes`. */
+  isMalformed: boolean;
 }
 
 /** Splits a stream at event boundaries, so that forwarded data never ends inside an event. */
@@ -15,8 +23,7 @@
     const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
     const end = findLastBoundary(bytes);
     this.pending = bytes.subarray(end);
-    const complete = bytes.subarray(0, end);
-    return { bytes: complete, lastEventId: findLastEventId(complete) };
+    return parseEvents(bytes.subarray(0, end));
   }
 
   /** Whether bytes of an incomplete event are buffered. */
@@ -37,8 +44,46 @@
   return 0;
 }
 
-function findLastEventId(bytes: Buffer): string | undefined {
-  if (bytes.length === 0) return undefined;
-  const matches = [...bytes.toString('latin1').matchAll(/^id:[ ]?([^\r\n]*)/gm)];
-  return matches.at(-1)?.[1];
+/** Parses complete events up to the first text that is not an event. */
+function parseEvents(bytes: Buffer): EventBatch {
+  // One character a byte, so that offsets in the text are offsets in the bytes.
+  const text = bytes.toString('latin1');
+  const ids: (string | undefined)[] = [];
+  let eventStart = 0;
+  let lines: string[] = [];
+  let lineStart = 0;
+  while (lineStart < text.length) {
+    const lineEnd = text.indexOf('\n', lineStart);
+    const line = text.slice(lineStart, lineEnd).replace(/\r$/, '');
+    lineStart = lineEnd + 1;
+    if (line !== '') {
+      lines.push(line);
+      continue;
+    }
+    const fields = parseFields(lines);
+    if (fields === undefined) {
+      return createBatch(bytes.subarray(0, eventStart), ids, true);
+    }
+    if (fields.has('data') || fields.has('id')) ids.push(fields.get('id'));
+    eventStart = lineStart;
+    lines = [];
+  }
+  return createBatch(bytes, ids, false);
+}
+
+function createBatch(bytes: Buffer, ids: (string | undefined)[], isMalformed: boolean): EventBatch {
+  return { bytes, lastEventId: ids.findLast((id) => id !== undefined), ids, isMalformed };
+}
+
+/** Parses the fields of an event, without comments; undefined when the lines are not an event. */
+function parseFields(lines: readonly string[]): Map<string, string> | undefined {
+  const fields = new Map<string, string>();
+  for (const line of lines) {
+    const groups = FIELD_LINE.exec(line)?.groups;
+    if (groups === undefined) return undefined;
+    const name = groups['name'] ?? groups['bareName'] ?? '';
+    if (name !== '') fields.set(name, line.slice(line.indexOf(':') + 1).replace(/^ /, ''));
+  }
+  const isEvent = fields.size === 0 || [...fields.keys()].some((name) => STANDARD_FIELDS.has(name));
+  return isEvent ? fields : undefined;
 }
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -100,9 +100,13 @@
     if (!dispatch.placed.isStreaming) this.#recordFirstEvent();
     if (inactivityTimeoutMs !== undefined) this.#startInactivityTimer(inactivityTimeoutMs);
     const events = this.splitter.readEvents(chunk);
-    if (events.bytes.length === 0) return true;
-    if (!dispatch.hasAnswerBegun) dispatcher.recordAnswerBegun(dispatch);
-    return onEvents(events, this.head);
+    let isWritable = true;
+    if (events.bytes.length > 0) {
+      if (!dispatch.hasAnswerBegun) dispatcher.recordAnswerBegun(dispatch);
+      isWritable = onEvents(events, this.head);
+    }
+    if (events.isMalformed) this.#failAttempt('the stream contains text that is not an event');
+    return isWritable;
   }
 
   #isStream(): boolean {
