--- a/packages/gateway/test/resumed-stream-contents.test.ts
+++ b/packages/gateway/test/resumed-stream-contents.test.ts
@@ -1,10 +1,18 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, test } from 'vitest';
+import type { RawHandler } from './raw-backend';
 import {
   EVENT_COUNT,
   SENT_BEFORE_BREAK,
+  READ_WAIT_MS,
   ERROR_TEXT,
+  ID,
   SIGNED,
+  EVENT_STREAM,
+  CHUNKED,
   makeEvents,
+  ALL_EVENTS,
+  encodeChunk,
   createAnswer,
   createStream,
   createUnframedStream,
@@ -74,3 +82,40 @@
   checkSoundStream(response);
   expect(response.isComplete).toBe(true);
 });
+
+// Guards against a stream that is joined from two runs, or whose caller misses a piece.
+test.each(
+  listCombinations([
+    { name: 'all events again', handle: createStream(() => ALL_EVENTS) },
+    {
+      name: 'the last event again',
+      handle: createStream((last) => makeEvents(last, EVENT_COUNT)),
+    },
+    {
+      name: 'a missing event',
+      handle: createStream((last) => makeEvents(last + 2, EVENT_COUNT)),
+    },
+    {
+      name: 'an event without an id',
+      handle: createStream((last) => `data: word\n\n${makeEvents(last + 1, EVENT_COUNT)}`),
+    },
+  ]),
+)('$name: a resumed stream goes on after the last event', async ({ first, second }) => {
+  await using running = await startCase([first, second, resumeAll]);
+  const response = await sendPlan(running.callerPort);
+  checkSoundStream(response);
+  expect(response.isComplete).toBe(true);
+});
+
+// Guards against a stream that starts again from its first event after some events were sent.
+test('a stream whose events have no ids is truncated when it breaks', async () => {
+  const events = 'data: one\n\ndata: two\n\n';
+  const first: RawHandler = (socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\n${EVENT_STREAM}${CHUNKED}${ID}test-signature: first\r\n\r\n`);
+    socket.write(encodeChunk(events));
+    void sleep(READ_WAIT_MS).then(() => socket.resetAndDestroy());
+  };
+  await using running = await startCase([first, createStream(() => `${events}data: three\n\n`)]);
+  const response = await sendPlan(running.callerPort);
+  expect(response).toMatchObject({ status: 200, isComplete: false, body: events });
+});
