Join only streams that go on after the last event

Cause: the gateway sent the last event's id with the resumption and did not check that the answer goes on there. Without an id it sent none, so that the server started again from the first event.

Change: the first event of a resumed attempt needs an id above the last one. Where all ids so far went up by one, it has to be the next one. Otherwise the attempt counts as broken, before any of its bytes are forwarded. A stream whose last event has no id is truncated instead of resumed. Ids that are not numbers are only compared for equality, and a gap is not found if only one event was forwarded before, as ids need not be consecutive.

--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -3,6 +3,7 @@
 import type { Dispatch, RequestDispatcher } from './request-dispatcher';
 import { EventSplitter } from './event-splitter';
 import type { EventBatch } from './event-splitter';
+import type { EventSequence } from './event-sequence';
 import type { Exchange } from './exchange';
 import type { DecodedResponse } from './header-codec';
 import { resolveAttemptOutcome } from './attempt-outcome';
@@ -26,6 +27,8 @@
   dispatch: Dispatch;
   /** The stream resumes after this event; undefined starts at the first event. */
   lastEventId: string | undefined;
+  /** Events that the caller has received from this and earlier attempts. */
+  sequence: EventSequence;
   /**
    * Time without further data of the event stream after which the attempt is cancelled, in milliseconds. Until the
    * stream's first data, the time of `computeOverdueAfterMs` applies. Undefined disables both timeouts.
@@ -40,6 +43,7 @@
   private readonly splitter = new EventSplitter();
   private readonly otherBodyChunks: Buffer[] = [];
   private readonly startedAtMs: number;
+  private hasEvents = false;
   private head: ResponseHead | undefined;
   private decoded: DecodedResponse | undefined;
   private inactivityTimer: NodeJS.Timeout | undefined;
@@ -100,6 +104,11 @@
     if (!dispatch.placed.isStreaming) this.#recordFirstEvent();
     if (inactivityTimeoutMs !== undefined) this.#startInactivityTimer(inactivityTimeoutMs);
     const events = this.splitter.readEvents(chunk);
+    const error = this.#findResumptionError(events);
+    if (error !== undefined) {
+      this.#failAttempt(error);
+      return true;
+    }
     let isWritable = true;
     if (events.bytes.length > 0) {
       if (!dispatch.hasAnswerBegun) dispatcher.recordAnswerBegun(dispatch);
@@ -115,6 +124,16 @@
     return isSuccess && this.head !== undefined && hasEventStreamType(this.head);
   }
 
+  /** Checks that the attempt's first event follows the last event of the earlier attempts, and adds the events. */
+  #findResumptionError({ ids }: EventBatch): string | undefined {
+    if (ids.length === 0) return undefined;
+    const { sequence } = this.options;
+    const error = this.hasEvents ? undefined : sequence.findResumptionError(ids[0]);
+    this.hasEvents = true;
+    if (error === undefined) sequence.recordEvents(ids);
+    return error;
+  }
+
   #recordFirstEvent(): void {
     const { exchange, dispatch } = this.options;
     const { loads, chooser, clock } = exchange.context;
--- a/packages/gateway/src/stream-request-handler.ts
+++ b/packages/gateway/src/stream-request-handler.ts
@@ -1,6 +1,7 @@
 import type { ResponseHead } from './backend-attempt';
 import { describeRejection, RequestDispatcher, resolveRetryAfterMs } from './request-dispatcher';
 import type { Dispatch, DispatchRejection } from './request-dispatcher';
+import { EventSequence } from './event-sequence';
 import type { EventBatch } from './event-splitter';
 import type { Exchange } from './exchange';
 import { runRetryLoop } from './retry-loop';
@@ -36,6 +37,7 @@
   private readonly isResumable: boolean;
   private readonly firstByteTimeoutMs: number;
   private readonly inactivityTimeoutMs: number | undefined;
+  private readonly sequence = new EventSequence();
   private lastEventId: string | undefined;
   private attempt: StreamAttempt | undefined;
   private isHeadSent = false;
@@ -91,6 +93,7 @@
       dispatcher: this.dispatcher,
       dispatch,
       lastEventId: this.lastEventId,
+      sequence: this.sequence,
       inactivityTimeoutMs: this.inactivityTimeoutMs,
       onEvents: (events, head) => {
         this.exchange.recordEvent(dispatch.choice.server.serverId);
@@ -119,7 +122,7 @@
 
   /** Returns true when the request is finished. */
   #handleResult(result: StreamAttemptResult, dispatch: Dispatch): boolean {
-    const { context, input } = this.exchange;
+    const { context } = this.exchange;
     const { serverId } = dispatch.choice.server;
     switch (result.kind) {
       case 'ended':
@@ -136,12 +139,17 @@
       case 'broken':
         this.runCount += 1;
         context.failures.observe(serverId, 'broken-answer', context.clock());
-        if (this.isResumable && this.runCount < input.route.maxAttempts) return false;
+        if (this.#hasFurtherAttempt()) return false;
         this.#fail(result.reason);
         return true;
     }
   }
 
+  #hasFurtherAttempt(): boolean {
+    const { maxAttempts } = this.exchange.input.route;
+    return this.isResumable && this.runCount < maxAttempts && this.sequence.isResumable();
+  }
+
   #handleRejection(rejection: DispatchRejection): void {
     if (this.exchange.isEnded()) return;
     const reason = describeRejection(rejection);
