--- a/packages/gateway/test/slow-stream-callers.test.ts
+++ b/packages/gateway/test/slow-stream-callers.test.ts
@@ -69,3 +69,16 @@
   expect(ids).toEqual(LARGE_IDS.slice(0, ids.length));
   if (isComplete) expect(ids.length).toBe(LARGE_EVENT_COUNT);
 });
+
+// Guards against a stream that is cut off, or sent to further servers, because its caller reads slowly.
+test('a caller that does not read for a while does not end its stream', async () => {
+  await using running = await startCase([
+    createStream((last) => makeLargeEvents(last + 1, LARGE_EVENT_COUNT)),
+  ]);
+  const { ids, isComplete } = await readSlowly(running.callerPort);
+  expect({ ids, isComplete, sendCount: running.countReceived() }).toEqual({
+    ids: LARGE_IDS,
+    isComplete: true,
+    sendCount: 1,
+  });
+});
