Leave a server in place while its stream waits for the caller

What callers saw: in the test a complete stream, but from three servers; with no attempt left it would be truncated.

Cause: the time without data also ran while the gateway did not read, because the caller did not. A sound server counted as silent, its idle connections were closed, and the stream went to the next server.

Change: the time stops when reading stops, and begins anew when reading goes on.

Evidence: sends for one stream of a caller that pauses for 2.5 s: 3 on, 1 now.

--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -44,6 +44,8 @@
   private readonly otherBodyChunks: Buffer[] = [];
   private readonly startedAtMs: number;
   private hasEvents = false;
+  /** Whether reading has stopped until `resume` is called, so that missing data is no sign of a silent server. */
+  private isPaused = false;
   private head: ResponseHead | undefined;
   private decoded: DecodedResponse | undefined;
   private inactivityTimer: NodeJS.Timeout | undefined;
@@ -80,6 +82,10 @@
 
   /** Continues to read the response after `onEvents` has returned false. */
   resume(): void {
+    if (this.isPaused) {
+      this.isPaused = false;
+      this.#startInactivityTimer(this.options.inactivityTimeoutMs ?? 0);
+    }
     this.attempt?.resume();
   }
 
@@ -115,6 +121,7 @@
       isWritable = onEvents(events, this.head);
     }
     if (events.isMalformed) this.#failAttempt('the stream contains text that is not an event');
+    if (!isWritable) this.#stopInactivityTimer();
     return isWritable;
   }
 
@@ -153,6 +160,11 @@
     }, delayMs);
   }
 
+  #stopInactivityTimer(): void {
+    this.isPaused = true;
+    clearTimeout(this.inactivityTimer);
+  }
+
   #failAttempt(reason: string): void {
     this.attempt?.cancel(reason);
     this.#settle({ kind: 'broken', reason });
