Send no datagrams to announced addresses that cannot be used

Callers saw: an instance ended, and again after each start, as long as another writer's announcement with a port out of range was in the store.

Cause: the port of an announcement was only checked to be a number. The socket throws for a port that is no integer from 1 to 65535, in a timer of the gossip, the load reports or the watch of instances, where nothing catches it.

An announcement without an IP address and such a port is now ignored like other invalid ones, and the socket skips such receivers, so that also a reply to a datagram with source port 0 does not throw.

--- a/packages/gateway/src/peer-socket.ts
+++ b/packages/gateway/src/peer-socket.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import { isIP } from 'node:net';
 import type { GatewayLog } from './log-and-clock';
 import type { TrafficMeter } from './traffic-meter';
 
@@ -17,6 +18,18 @@
 
 export type SenderAddress = Pick<PeerAddress, 'address' | 'port'>;
 
+const MAX_PORT = 65_535;
+
+/** Whether datagrams can be sent to an address, which another writer may have announced. */
+export function isUsableAddress(candidate: {
+  address: unknown;
+  port: unknown;
+}): candidate is SenderAddress {
+  const { address, port } = candidate;
+  if (typeof address !== 'string' || isIP(address) === 0) return false;
+  return typeof port === 'number' && Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+}
+
 /** What a datagram carries. */
 export type DatagramKind = 'load-report' | 'gossip' | 'send-counts';
 type DatagramHandler = (bytes: Buffer, sender: SenderAddress) => void;
@@ -61,11 +74,17 @@
     this.handlers.set(kind, handler);
   }
 
-  /** Sends a datagram to each receiver. A datagram can be lost. */
+  /** Sends a datagram to each receiver with a usable address. A datagram can be lost. */
   send(bytes: Buffer, receivers: readonly SenderAddress[]): void {
     const { log, traffic } = this.options;
     traffic.recordBytes('peer', 'sent', bytes.length * receivers.length);
-    for (const { port, address } of receivers) {
+    for (const receiver of receivers) {
+      const { port, address } = receiver;
+      // The socket throws for a port out of range.
+      if (!isUsableAddress(receiver)) {
+        log.debug('a datagram has no usable receiver', { address, port });
+        continue;
+      }
       this.socket.send(bytes, port, address, (error) => {
         if (error) log.debug('failed to send a datagram', { address, port, error });
       });
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -4,6 +4,7 @@
 import { KEY_WATCH_WAIT_MS } from './key-freshness';
 import type { KeyFreshness } from './key-freshness';
 import { KindWatcher } from './kind-watcher';
+import { isUsableAddress } from './peer-socket';
 import type { PeerAddress } from './peer-socket';
 import type { Clock, GatewayLog } from './log-and-clock';
 import type { ServerRegistry } from './server-registry';
@@ -151,14 +152,14 @@
 
   #putInstance(object: StoredObject): void {
     const { address, port, isWatchable } = (object.spec ?? {}) as Record<string, unknown>;
-    if (typeof address !== 'string' || typeof port !== 'number') {
+    const candidate = { address, port };
+    if (!isUsableAddress(candidate)) {
       this.options.log.warn('invalid announcement of an instance ignored', { name: object.name });
       return;
     }
     this.instances.set(object.name, {
       instanceId: object.name,
-      address,
-      port,
+      ...candidate,
       isWatchable: isWatchable === true,
     });
   }
