--- /dev/null
+++ b/packages/policy/src/availability/index.ts
@@ -0,0 +1,1 @@
+export * from './server-pauses';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -9,3 +9,4 @@
 export * from './placement';
 export * from './quarantine';
 export * from './limits';
+export * from './availability';
