Close a connection on which a plain request gets a foreign answer

What callers saw: after an order had got 502 for an answer of another request, the next order on the connection got 502 too, and a caller without a request id got the answer of the first order (MIXED).

Cause: the attempt of a plain request ended as complete, also with a foreign answer, and its connection was used again. Streams already cancel such an attempt.

Change: the attempt is cancelled at the head of a foreign answer, which closes the connection, so that the late answer meets no other request. The result is still that the server may have run the request. An answer with a content encoding is treated alike.

--- a/packages/gateway/src/plain-request-handler.ts
+++ b/packages/gateway/src/plain-request-handler.ts
@@ -2,6 +2,7 @@
 import { describeRejection, RequestDispatcher, resolveRetryAfterMs } from './request-dispatcher';
 import type { Dispatch } from './request-dispatcher';
 import type { Exchange, BufferedResponse } from './exchange';
+import type { DecodedResponse } from './header-codec';
 import { resolveAttemptOutcome } from './attempt-outcome';
 import { runRetryLoop } from './retry-loop';
 
@@ -154,6 +155,11 @@
       const attempt = this.dispatcher.send(dispatch, undefined, {
         onResponse: (response) => {
           head = response;
+          const decoded = this.#decodeResponse(response);
+          if (decoded.kind !== 'foreign') return;
+          // The request's own answer may follow, so the connection must not serve another request.
+          attempt.cancel(decoded.kind);
+          settle({ kind: 'may-have-run', reason: decoded.reason });
         },
         onData: (chunk) => {
           chunks.push(chunk);
@@ -178,18 +184,21 @@
     });
   }
 
+  #decodeResponse({ status, headers }: ResponseHead): DecodedResponse {
+    const { context, input } = this.exchange;
+    return context.codec.decodeResponse(status, headers, input.head.requestId);
+  }
+
   #resolveResult(
     end: AttemptEnd,
     head: ResponseHead | undefined,
     body: Buffer,
     dispatch: Dispatch,
   ): PlainAttemptResult {
-    const { context, input } = this.exchange;
+    const { context } = this.exchange;
     const { serverId } = dispatch.choice.server;
     const decoded =
-      end.kind === 'complete' && head !== undefined
-        ? context.codec.decodeResponse(head.status, head.headers, input.head.requestId)
-        : undefined;
+      end.kind === 'complete' && head !== undefined ? this.#decodeResponse(head) : undefined;
     if (decoded !== undefined) dispatch.record.result = decoded.kind;
     const outcome = resolveAttemptOutcome(end, head, decoded);
     switch (outcome.kind) {
