Keep the pause tests independent of the machine's speed

In a run of all gateway and policy tests (load average 24) two cases failed for want of input: the server that turns requests away for 0.7 s had turned none away in that time ("unusable text ''"), and 6 of 84 instances had heard of the pause in the 4 s that it lasted. The server now goes on until it has turned away two, and the pause before the return lasts 8 s. The bounds are unchanged.

--- a/packages/gateway/test/pausing-servers.ts
+++ b/packages/gateway/test/pausing-servers.ts
@@ -162,7 +162,8 @@
 
 export interface TrafficOptions {
   path: string;
-  durationMs: number;
+  /** Whether to go on at this time since the start. */
+  isOngoing(elapsedMs: number): boolean;
   intervalMs: number;
   /** Instances of which each gets the same share of half of the requests; the others share the other half with them. */
   busyInstances: number;
@@ -171,11 +172,11 @@
 /** Sends requests at a steady rate and resolves with all responses. */
 export async function sendTraffic(
   gateways: readonly TestGateway[],
-  { path, durationMs, intervalMs, busyInstances }: TrafficOptions,
+  { path, isOngoing, intervalMs, busyInstances }: TrafficOptions,
 ): Promise<CallerResponse[]> {
   const startedAtMs = performance.now();
   const responses: Promise<CallerResponse>[] = [];
-  for (let index = 0; performance.now() < startedAtMs + durationMs; index += 1) {
+  for (let index = 0; isOngoing(performance.now() - startedAtMs); index += 1) {
     const choices = index % 2 === 0 ? Math.min(busyInstances, gateways.length) : gateways.length;
     const target = gateways[Math.floor(index / 2) % choices];
     if (target !== undefined) responses.push(sendTo(target, path));
--- a/packages/gateway/test/server-pauses.test.ts
+++ b/packages/gateway/test/server-pauses.test.ts
@@ -18,6 +18,7 @@
 const MAX_IN_PAUSE = 2;
 /** Time at which the busiest server begins to turn requests away, after the start of the traffic. */
 const REFUSING_FROM_MS = 300;
+const MIN_REFUSALS = 2;
 const INTERVAL_MS = 15;
 /** Time in which a server answers, so that requests overlap and all servers are used. */
 const SERVICE_MS = 100;
@@ -51,18 +52,19 @@
   instances: number;
   path: string;
   makeRefusal(count: number): Refusal;
-  /** Time for which the busiest server turns requests away. */
+  /** Time for which the busiest server turns requests away, or longer until it has turned away a few. */
   refusingMs: number;
-  durationMs: number;
-  /** Time after the start of the traffic from which that server is used again; undefined if it is not. */
-  usedFromMs: number | undefined;
+  /** Duration of the traffic after that. */
+  tailMs: number;
+  /** Time after that from which the server is used again; undefined if it is not. */
+  usedAfterMs: number | undefined;
   /** Share of the requests that is served. Retries have a budget, so that some first requests are refused. */
   minServedShare: number;
 }
 
 const sixInstances = { instances: 6, path: '/orders/1', minServedShare: 0.9 };
-const longRefusal = { refusingMs: 2_500, durationMs: 7_000, usedFromMs: 5_800 };
-const shortRefusal = { refusingMs: 700, durationMs: 6_000, usedFromMs: 4_800 };
+const longRefusal = { refusingMs: 2_500, tailMs: 4_500, usedAfterMs: 3_200 };
+const shortRefusal = { refusingMs: 700, tailMs: 5_500, usedAfterMs: 4_200 };
 
 const cases: PauseCase[] = [
   {
@@ -106,12 +108,12 @@
   },
   { name: 'a date', ...sixInstances, ...shortRefusal, makeRefusal: makeDateRefusal },
   {
-    ...{ name: 'a huge number', ...sixInstances, ...shortRefusal, usedFromMs: undefined },
+    ...{ name: 'a huge number', ...sixInstances, ...shortRefusal, usedAfterMs: undefined },
     makeRefusal: () => refuse(1e30, { retryAfter: ['1' + '0'.repeat(30)] }),
   },
   ...['0', '-5', 'soon', ''].map((text) => ({
     ...{ name: `unusable text '${text}'`, ...sixInstances, ...shortRefusal },
-    ...{ durationMs: 3_000, usedFromMs: 1_500 },
+    ...{ tailMs: 2_000, usedAfterMs: 500 },
     makeRefusal: () => refuse(0, { retryAfter: [text] }),
   })),
 ];
@@ -119,13 +121,18 @@
 // Guards against servers that get requests although they have asked for none, and against servers that are not used any more.
 test.each(cases)(
   'a server that asks for a pause gets none until its end, and is used afterwards: $name',
-  async ({ name, instances, path, makeRefusal, refusingMs, durationMs, ...expected }) => {
+  async ({ name, instances, path, makeRefusal, refusingMs, tailMs, ...expected }) => {
     const store = new FakeStore();
     let startedAtMs = Infinity;
     let refusingIndex: number | undefined;
+    let stoppedAtMs = Infinity;
+    const getRecord = () => servers.records[refusingIndex ?? 0] ?? { arrivals: [], pauses: [] };
     const isRefusing = () => {
-      const elapsedMs = performance.now() - startedAtMs;
-      return elapsedMs >= REFUSING_FROM_MS && elapsedMs < REFUSING_FROM_MS + refusingMs;
+      const nowMs = performance.now();
+      const hasRefused = getRecord().pauses.length >= MIN_REFUSALS;
+      if (hasRefused && nowMs >= startedAtMs + REFUSING_FROM_MS + refusingMs)
+        stoppedAtMs = Math.min(stoppedAtMs, nowMs);
+      return nowMs >= startedAtMs + REFUSING_FROM_MS && nowMs < stoppedAtMs;
     };
     const service = path.startsWith('/chat/') || path.startsWith('/plan/') ? 'engines' : 'desk';
     await using servers = await startPausingServers({
@@ -139,21 +146,23 @@
     });
     await using fleet = await startGatewayFleet(store, instances, makePatientBundle());
     startedAtMs = performance.now();
-    const traffic = { path, durationMs, intervalMs: INTERVAL_MS, busyInstances: BUSY_INSTANCES };
-    const responses = await sendTraffic(fleet.gateways, traffic);
-    const record = servers.records[refusingIndex ?? 0] ?? { arrivals: [], pauses: [] };
+    const responses = await sendTraffic(fleet.gateways, {
+      ...{ path, intervalMs: INTERVAL_MS, busyInstances: BUSY_INSTANCES },
+      isOngoing: () => isRefusing() || performance.now() < stoppedAtMs + tailMs,
+    });
+    const record = getRecord();
     const most = countMostInPause(record);
     const servedShare = responses.filter(({ status }) => status === 200).length / responses.length;
-    const usedFromMs = startedAtMs + (expected.usedFromMs ?? 0);
+    const usedFromMs = stoppedAtMs + (expected.usedAfterMs ?? 0);
     const lateCount = record.arrivals.filter(({ atMs }) => atMs >= usedFromMs).length;
     console.log(
       `${name}: most of one instance in a pause ${most}, ${record.pauses.length} refusals, ` +
         `${servedShare.toFixed(3)} of ${responses.length} served, ${lateCount} at the end`,
     );
-    expect(record.pauses.length).toBeGreaterThan(0);
+    expect(record.pauses.length).toBeGreaterThanOrEqual(MIN_REFUSALS);
     expect(most).toBeLessThanOrEqual(MAX_IN_PAUSE);
     expect(servedShare).toBeGreaterThanOrEqual(expected.minServedShare);
-    if (expected.usedFromMs !== undefined) expect(lateCount).toBeGreaterThan(0);
+    if (expected.usedAfterMs !== undefined) expect(lateCount).toBeGreaterThan(0);
   },
 );
 
@@ -168,13 +177,16 @@
   });
   await using fleet = await startGatewayFleet(store, 6, makeBundle());
   const traffic = { path: '/orders/1', intervalMs: INTERVAL_MS, busyInstances: BUSY_INSTANCES };
-  await sendTraffic(fleet.gateways, { ...traffic, durationMs: 2_500 });
+  await sendTraffic(fleet.gateways, { ...traffic, isOngoing: (elapsedMs) => elapsedMs < 2_500 });
   const [record = { arrivals: [], pauses: [] }] = servers.records;
   const most = countMostInPause(record);
   isRefusing = false;
   servers.restart(0);
   const restartedAtMs = performance.now();
-  const responses = await sendTraffic(fleet.gateways, { ...traffic, durationMs: 1_500 });
+  const responses = await sendTraffic(fleet.gateways, {
+    ...traffic,
+    isOngoing: (elapsedMs) => elapsedMs < 1_500,
+  });
   const afterwards = record.arrivals.filter(({ atMs }) => atMs >= restartedAtMs);
   console.log(`restart: most in a pause ${most}, ${afterwards.length} after the restart`);
   expect(most).toBeLessThanOrEqual(MAX_IN_PAUSE);
@@ -184,7 +196,8 @@
 
 /** Time after the end of a pause in which the returning requests are counted. */
 const RETURN_WINDOW_MS = 200;
-const PAUSE_MS = 4_000;
+/** Long enough that all instances hear of the pause also on a busy machine. */
+const PAUSE_MS = 8_000;
 /** Slots of the servers that `makeServer` makes. */
 const SERVER_SLOTS = 16;
 
