Start the single executable without native parts

Operators saw: beside the checkout's node_modules dist/pollendrum ended at once on arm64 with a symbol lookup error (napi_define_properties in cbor-extract).

Cause: the library for CBOR loads its optional native part if it finds it, and on arm64 the part cannot be linked to the executable. The linker ends the process, so that the library cannot fall back to JavaScript.

Evidence: executable.test.ts failed before with this error and passes now, on arm64. Not run on x86-64.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,5 +1,5 @@
 // Bundles the entry points to one CommonJS file each; with --binary also makes dist/pollendrum, with --target
-// only the program for the users' platform.
+// only the program for the users' platform. --folder sets where the files go, dist by default.
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, existsSync, mkdirSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
@@ -12,7 +12,7 @@
 
 const platformEntryPoints = { gateway: 'platform/src/main.ts' };
 
-export async function bundle(entries = entryPoints, folder = 'dist') {
+export async function bundle(entries = entryPoints, folder = 'dist', define = {}) {
   mkdirSync(folder, { recursive: true });
   for (const [name, entry] of Object.entries(entries)) {
     if (!existsSync(entry)) continue;
@@ -29,7 +29,7 @@
       external: ['unix-dgram', 'cbor-extract', 'typescript'],
       // jsonc-parser's main file resolves its parts at run time, which a bundle cannot follow.
       mainFields: ['module', 'main'],
-      define: { 'import.meta.url': '__bundleUrl' },
+      define: { 'import.meta.url': '__bundleUrl', ...define },
       banner: {
         // In a single executable the given require only loads built-in modules and warns about others.
         js: 'require = require("node:module").createRequire(__filename);const __bundleUrl = require("node:url").pathToFileURL(__filename).href;',
@@ -38,26 +38,30 @@
   }
 }
 
-function makeBinary() {
-  const config = 'dist/sea-config.json';
+/** In a single executable native parts cannot be linked on all architectures, so that it uses their JavaScript. */
+const binaryDefine = { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' };
+
+async function makeBinary(folder) {
+  await bundle({ executable: entryPoints.pollendrum }, folder, binaryDefine);
+  const config = `${folder}/sea-config.json`;
   writeFileSync(
     config,
     JSON.stringify({
-      main: 'dist/pollendrum.cjs',
-      output: 'dist/pollendrum.blob',
+      main: `${folder}/executable.cjs`,
+      output: `${folder}/pollendrum.blob`,
       disableExperimentalSEAWarning: true,
     }),
   );
   execFileSync(process.execPath, ['--experimental-sea-config', config], { stdio: 'inherit' });
-  copyFileSync(process.execPath, 'dist/pollendrum');
-  chmodSync('dist/pollendrum', 0o755);
+  copyFileSync(process.execPath, `${folder}/pollendrum`);
+  chmodSync(`${folder}/pollendrum`, 0o755);
   execFileSync(
     process.execPath,
     [
       'node_modules/postject/dist/cli.js',
-      'dist/pollendrum',
+      `${folder}/pollendrum`,
       'NODE_SEA_BLOB',
-      'dist/pollendrum.blob',
+      `${folder}/pollendrum.blob`,
       '--sentinel-fuse',
       'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2',
     ],
@@ -66,7 +70,9 @@
 }
 
 if (process.argv[1]?.endsWith('build.mjs')) {
+  const folderIndex = process.argv.indexOf('--folder');
+  const folder = folderIndex < 0 ? 'dist' : process.argv[folderIndex + 1];
   if (process.argv.includes('--target')) await bundle(platformEntryPoints, 'target');
-  else await bundle();
-  if (process.argv.includes('--binary')) makeBinary();
+  else await bundle(entryPoints, folder);
+  if (process.argv.includes('--binary')) await makeBinary(folder);
 }
