Apply the other changes when one of a response cannot be applied

Callers would see servers that are gone or new ones that are not used: the revision of a watch has moved on before its changes are applied, so that those after one that throws were never delivered again.

Each change is now applied by itself and a failure is logged with its name. No entry was found that makes one throw; this is about the next such fault.

Evidence: the new case of store-state.test.ts failed before; all 16 pass.

--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -109,7 +109,7 @@
       return;
     }
     this.revision = Math.max(afterRevision, result.revision);
-    for (const change of result.changes) this.options.onChange(change);
+    for (const change of result.changes) this.#applyChange(change);
     const isEmpty = result.changes.length === 0;
     this.nextWaitMs = isEmpty ? Infinity : WAIT_AFTER_CHANGES_MS;
     // A response can be delayed in transit. An empty response was written no earlier than the end of the wait;
@@ -117,6 +117,17 @@
     this.options.onSync?.(isEmpty ? Math.min(nowMs, startedAtMs + waitMs) : startedAtMs);
   }
 
+  /** Applies a change. One that cannot be applied does not keep back the others, which no later watch would deliver. */
+  #applyChange(change: ObjectChange): void {
+    const { log, kind, onChange } = this.options;
+    try {
+      onChange(change);
+    } catch (error) {
+      const name = change.kind === 'put' ? change.object.name : change.name;
+      log.error('a change of the store cannot be applied', { kind, name, error: String(error) });
+    }
+  }
+
   #markConnected(): void {
     if (this.disconnectedAtMs !== undefined) {
       this.options.log.info('store regained', {
--- a/packages/gateway/test/store-state.test.ts
+++ b/packages/gateway/test/store-state.test.ts
@@ -9,6 +9,9 @@
 import { createTestLog, makeServer, waitUntil } from './gateway-fixture';
 import type { LogLine } from './gateway-fixture';
 
+/** Name of an object whose change the watcher's owner cannot apply. */
+const BROKEN_NAME = 'broken';
+
 interface WatcherFixture {
   watcher: KindWatcher;
   names: Set<string>;
@@ -33,6 +36,7 @@
       for (const { name } of objects) names.add(name);
     },
     onChange: (change) => {
+      if (change.kind === 'put' && change.object.name === BROKEN_NAME) throw new Error('broken');
       if (change.kind === 'put') names.add(change.object.name);
       else names.delete(change.name);
     },
@@ -54,6 +58,18 @@
   await waitUntil(() => watched.names.has('b') && !watched.names.has('a'));
 });
 
+// Guards against changes that are lost since one before them in the same response could not be applied.
+test('a change that cannot be applied does not keep back the others', async () => {
+  const store = new FakeStore();
+  const watched = startWatcher(store);
+  await using _ = watched.watcher;
+  await waitUntil(() => watched.syncTimes.length > 0);
+  store.put('things', BROKEN_NAME, {});
+  store.put('things', 'b', {});
+  await waitUntil(() => watched.names.has('b'));
+  expect(watched.lines.map(({ message }) => message)).not.toContain('store lost');
+});
+
 test('a watcher lists the objects again when the change history is lost', async () => {
   const store = new FakeStore();
   store.put('things', 'a', {});
