Send no requests to backend servers that leave

What callers saw: requests went to servers that had said in an answer that they leave, until the server ended (DRAIN).

Cause: an instance knew a server's state from its entry in the store only, keyed by the id, so that a later entry also undid what an earlier one had said.

Change: ServerAvailability keeps which starts of servers leave, from the heads of all answers but 421, from entries, and from other instances by gossip. A mark is bound to one start and ends with it; a start without a start time is told from the one before by its address, its heartbeats or the absence of its entry. The chooser asks it, and an attempt asks again just before its first byte; one that is withdrawn there costs no retry. When all servers leave, callers get 503 and a time. server-chooser counts as left out for their limits only servers that are otherwise available. The counter of later sends is gone, as none can be counted any more; leaving-observer.test.ts checks at the server that the second request does not arrive, which is as strict.

--- a/packages/gateway/src/attempt-outcome.ts
+++ b/packages/gateway/src/attempt-outcome.ts
@@ -5,10 +5,10 @@
 /** What the end of an attempt proves about whether the server has run the request. */
 export type AttemptOutcome =
   /**
-   * The server has not run the request. `observation` is the failure to record for the server: `full` when the server
-   * refused the request, for whatever reason.
+   * The server has not run the request. `observation` is the failure to record for the server, if any: `full` when the
+   * server refused the request, for whatever reason.
    */
-  | { kind: 'not-run'; observation: 'unreachable' | 'full'; reason: string }
+  | { kind: 'not-run'; observation: 'unreachable' | 'full' | undefined; reason: string }
   | { kind: 'may-have-run'; reason: string }
   /** The response has no signature, or has a not-run status other than 421 without the not-run header. */
   | { kind: 'unproven'; reason: string }
@@ -27,6 +27,8 @@
   switch (end.kind) {
     case 'not-sent':
       return { kind: 'not-run', observation: 'unreachable', reason: end.reason };
+    case 'withdrawn':
+      return { kind: 'not-run', observation: undefined, reason: end.reason };
     case 'broken':
       return { kind: 'may-have-run', reason: end.reason };
     case 'complete':
--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -18,12 +18,20 @@
   rawHeaders: string[];
 }
 
-/** How an attempt ended. `not-sent`: no byte of the request was written. `broken`: the server may have run it. */
+/**
+ * How an attempt ended. `not-sent`: no byte of the request was written. `withdrawn`: the same, since the server was not to get
+ * requests any more. `broken`: the server may have run it.
+ */
 export type AttemptEnd =
-  { kind: 'complete' } | { kind: 'not-sent'; reason: string } | { kind: 'broken'; reason: string };
+  | { kind: 'complete' }
+  | { kind: 'not-sent'; reason: string }
+  | { kind: 'withdrawn'; reason: string }
+  | { kind: 'broken'; reason: string };
 
 /** Callbacks of an attempt. */
 export interface AttemptHandlers {
+  /** Called just before the first byte is written; a reason withdraws the attempt. */
+  checkSend?(): string | undefined;
   onResponse(head: ResponseHead): void;
   /** Returning false stops reading the response until `resume` is called. */
   onData(chunk: Buffer): boolean;
@@ -62,8 +70,17 @@
     {
       onRequestStart(started) {
         controller = started;
-        if (isEnded) started.abort(new Error('cancelled'));
-        else isSent = true;
+        if (isEnded) {
+          started.abort(new Error('cancelled'));
+          return;
+        }
+        const reason = handlers.checkSend?.();
+        if (reason === undefined) {
+          isSent = true;
+          return;
+        }
+        end({ kind: 'withdrawn', reason });
+        started.abort(new Error(reason));
       },
       onResponseStart(_, status, headers) {
         if (status < 200 || isEnded) return;
--- a/packages/gateway/src/bundle.ts
+++ b/packages/gateway/src/bundle.ts
@@ -88,4 +88,6 @@
    * speeds recorded for the previous process are discarded.
    */
   startedAtUnixMs: number | undefined;
+  /** Heartbeats since the process started; the number falls only when a process starts. */
+  heartbeats?: number;
 }
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -13,7 +13,9 @@
 import type { PeerAddress } from './peer-socket';
 import { QuarantineArchive } from './quarantine-archive';
 import { RequestQuarantine } from './request-quarantine';
-import type { ServerRegistry } from './server-registry';
+import { ServerAvailability } from './server-availability';
+import type { LeavingSource } from './server-availability';
+import type { ServerChange, ServerRegistry } from './server-registry';
 import { INSTANCE_KIND } from './store-watchers';
 import type { TrafficMeter } from './traffic-meter';
 
@@ -26,17 +28,20 @@
   traffic: TrafficMeter;
   clock: Clock;
   log: GatewayLog;
+  /** Called when this instance learns that a server leaves. */
+  onLeaving(server: BackendServer, source: LeavingSource): void;
   /** Called when a peer reports a prompt that it sent to a server. */
   onPrompt(prompt: ReportedPrompt): void;
 }
 
 /**
  * What this instance exchanges with others over one socket: loads and prompts with its group, and with the whole fleet the
- * requests that crash servers and the limits that servers name.
+ * requests that crash servers, the servers that leave and the limits that servers name.
  */
 export class FleetExchange implements AsyncDisposable {
   readonly quarantine: RequestQuarantine;
   readonly limitSharing: LimitSharing;
+  readonly availability: ServerAvailability;
   private readonly socket: PeerSocket;
   private readonly gossip: FleetGossip;
   private readonly instanceWatch: InstanceWatch;
@@ -45,7 +50,8 @@
   private instances: readonly PeerAddress[] = [];
 
   constructor(private readonly options: FleetExchangeOptions) {
-    const { settings, store, registry, loads, groups, traffic, clock, log, onPrompt } = options;
+    const { settings, store, registry, loads, groups, traffic, clock, log, onPrompt, onLeaving } =
+      options;
     const { instanceId, address, peerPort } = settings;
     const socket = new PeerSocket({ address, port: peerPort, log, traffic });
     this.socket = socket;
@@ -57,7 +63,11 @@
       onFact: (fact) => {
         this.#handleFact(fact);
       },
-      listFacts: () => [...this.quarantine.listFacts(), ...this.limitSharing.listFacts()],
+      listFacts: () => [
+        ...this.quarantine.listFacts(),
+        ...this.availability.listFacts(),
+        ...this.limitSharing.listFacts(),
+      ],
     });
     const publish: FleetGossip['publish'] = (key, build, urgency) => {
       this.gossip.publish(key, build, urgency);
@@ -69,10 +79,12 @@
       },
     });
     this.archive = new QuarantineArchive({ store, quarantine: this.quarantine, clock, log });
+    const getServer = (serverId: string) => registry.get(serverId);
+    this.availability = new ServerAvailability({ publish, clock, getServer, onLeaving });
     this.limitSharing = new LimitSharing({
       ...{ instanceId, socket, publish, clock, log },
       isDivided: (service) => groups.isDivided(registry.listReady(service).length),
-      getServer: (serverId) => registry.get(serverId),
+      getServer,
       listInstanceIds: (isDivided) => {
         const users = isDivided ? groups.selectMembers(this.instances) : this.instances;
         return users.map((instance) => instance.instanceId);
@@ -100,8 +112,9 @@
   }
 
   /** Takes in that a server is listed, has changed or is gone. */
-  handleServerChange(server: BackendServer): void {
-    this.limitSharing.handleServerChange(server);
+  handleServerChange(change: ServerChange): void {
+    this.availability.handleServerChange(change);
+    this.limitSharing.handleServerChange(change.server);
   }
 
   /** Adds a prompt to the next report to the group. */
@@ -125,6 +138,9 @@
       case 'probe':
         this.quarantine.mergeFact(fact);
         return;
+      case 'leaving':
+        this.availability.mergeFact(fact);
+        return;
       case 'limit':
         this.limitSharing.mergeFact(fact);
         return;
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -18,6 +18,7 @@
 import type { RequestQuarantine } from './request-quarantine';
 import type { Clock, GatewayLog } from './log-and-clock';
 import type { RouteTable } from './route-table';
+import type { ServerAvailability } from './server-availability';
 import type { ServerChooser } from './server-chooser';
 import type { ServerRegistry } from './server-registry';
 import type { TrafficMeter } from './traffic-meter';
@@ -38,6 +39,7 @@
   retryBudget: RetryBudget;
   backendPool: BackendPool;
   crashObserver: CrashObserver;
+  availability: ServerAvailability;
   leavingObserver: LeavingObserver;
   limitObserver: LimitObserver;
   limitSharing: LimitSharing;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -17,7 +17,6 @@
   openRequests: Gauge;
   serverCrashes: Counter<'service'>;
   leavingServers: Counter<'service' | 'source'>;
-  sendsToLeavingServers: Counter<'service'>;
   /** Renders all metrics in the Prometheus text exposition format. */
   renderText(): Promise<string>;
 }
@@ -85,12 +84,6 @@
       labelNames: ['service', 'source'],
       registers,
     }),
-    sendsToLeavingServers: new Counter({
-      name: 'pollendrum_sends_to_leaving_servers_total',
-      help: 'Requests sent to backend servers after the instance has heard that they leave, by service.',
-      labelNames: ['service'],
-      registers,
-    }),
     renderText: () => registry.metrics(),
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,7 @@
 } from '@pollendrum/policy';
 import type { GatewaySettings } from '@pollendrum/protocol';
 import { BackendPool } from './backend-pool';
-import type { RouteBundle } from './bundle';
+import type { BackendServer, RouteBundle } from './bundle';
 import { createCallerServer } from './caller-server';
 import { CrashObserver } from './crash-observer';
 import { recordPrompt } from './gateway-context';
@@ -28,6 +28,7 @@
 import type { PeerAddress } from './peer-socket';
 import type { GatewayLog } from './log-and-clock';
 import { RouteTable } from './route-table';
+import type { LeavingSource } from './server-availability';
 import { ServerChooser } from './server-chooser';
 import { ServerRegistry } from './server-registry';
 import type { ServerChange } from './server-registry';
@@ -106,8 +107,11 @@
       onPrompt: (prompt) => {
         this.#handlePeerPrompt(prompt);
       },
+      onLeaving: (server, source) => {
+        this.#handleLeaving(server, source);
+      },
     });
-    const { quarantine, limitSharing } = this.fleetExchange;
+    const { quarantine, limitSharing, availability } = this.fleetExchange;
     const metrics = createGatewayMetrics(traffic, {
       countQuarantinedTraits: () => quarantine.countQuarantined(),
       countLimitedServers: () => limitSharing.countLimited(),
@@ -140,11 +144,8 @@
       quarantine,
       leavingObserver: new LeavingObserver({
         log,
-        onFirstNotice: ({ service }, { kind: source }) => {
-          metrics.leavingServers.inc({ service, source });
-        },
-        onLateSend: ({ service }) => {
-          metrics.sendsToLeavingServers.inc({ service });
+        onLeaving: (server, status) => {
+          availability.recordLeaving(server, { kind: 'answer', status });
         },
       }),
       limitObserver: new LimitObserver({
@@ -161,8 +162,9 @@
         failures,
         speeds,
         groups,
-        limits: limitSharing,
+        ...{ availability, limits: limitSharing },
       }),
+      availability,
       limitSharing,
       limitedAdmissions: new LimitedAdmissions(),
       getRouteTable: () => this.routeTable,
@@ -318,6 +320,15 @@
     });
   }
 
+  #handleLeaving({ serverId, service }: BackendServer, source: LeavingSource): void {
+    this.options.log.info('backend server leaves', {
+      ...{ serverId, service, source: source.kind },
+      ...source,
+    });
+    this.context.metrics.leavingServers.inc({ service, source: source.kind });
+    this.context.backendPool.discardIdle(serverId);
+  }
+
   #handlePeerPrompt(prompt: ReportedPrompt): void {
     const serviceName = this.context.registry.get(prompt.serverId)?.service;
     if (serviceName === undefined) return;
@@ -346,11 +357,8 @@
   #handleServerChange(change: ServerChange): void {
     const { serverId } = change.server;
     this.options.log.info(`backend server ${change.kind}`, { ...change.server });
-    this.fleetExchange.handleServerChange(change.server);
+    this.fleetExchange.handleServerChange(change);
     const { failures, loads, prefixes, backendPool, leavingObserver, limitObserver } = this.context;
-    if (change.kind !== 'removed' && change.server.state === 'draining') {
-      leavingObserver.recordLeaving(change.server, { kind: 'entry-draining' });
-    }
     switch (change.kind) {
       case 'added':
         return;
@@ -362,7 +370,6 @@
         backendPool.discardIdle(serverId);
         return;
       case 'removed':
-        leavingObserver.recordLeaving(change.server, { kind: 'entry-removed' });
         leavingObserver.removeServer(serverId);
         limitObserver.removeServer(serverId);
         failures.removeServer(serverId);
--- a/packages/gateway/src/gossip-codec.ts
+++ b/packages/gateway/src/gossip-codec.ts
@@ -3,7 +3,13 @@
 import type { LimitFact, RequestTrait, TraitFact } from '@pollendrum/policy';
 
 /** A fact as it travels between instances. */
-export type GossipFact = AgedTraitFact | ProbeFact | ({ kind: 'limit' } & LimitFact);
+export type GossipFact = AgedTraitFact | ProbeFact | LeavingFact | ({ kind: 'limit' } & LimitFact);
+
+/** A start of a backend server leaves and has said so in its answers only. */
+export interface LeavingFact {
+  kind: 'leaving';
+  serverKey: string;
+}
 
 /** A fact about a trait with its age instead of its time, since the instances' clocks differ. */
 export type AgedTraitFact = { ageMs: number } & (
@@ -67,6 +73,8 @@
     case 'sound':
     case 'probe':
       return [fact.kind, fact.trait, Math.round(fact.ageMs)];
+    case 'leaving':
+      return ['leaving', fact.serverKey];
     case 'limit':
       return ['limit', fact.serverKey, fact.version, fact.requestsPerSecond ?? null];
   }
@@ -82,6 +90,8 @@
     case 'sound':
     case 'probe':
       return { kind: update[0], trait: update[1] as RequestTrait, ageMs: update[2] };
+    case 'leaving':
+      return { kind: 'leaving', serverKey: update[1] };
     case 'limit':
       return {
         ...{ kind: 'limit', serverKey: update[1], version: update[2] },
--- a/packages/gateway/src/plain-request-handler.ts
+++ b/packages/gateway/src/plain-request-handler.ts
@@ -203,7 +203,9 @@
     const outcome = resolveAttemptOutcome(end, head, decoded);
     switch (outcome.kind) {
       case 'not-run':
-        context.failures.observe(serverId, outcome.observation, context.clock());
+        if (outcome.observation !== undefined) {
+          context.failures.observe(serverId, outcome.observation, context.clock());
+        }
         return { kind: 'not-run', reason: outcome.reason };
       case 'may-have-run':
       case 'unproven':
--- a/packages/gateway/src/request-dispatcher.ts
+++ b/packages/gateway/src/request-dispatcher.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { chooseAdmission } from '@pollendrum/policy';
-import type { PlacedRequest, RequestTrait } from '@pollendrum/policy';
+import type { LimitRoom, PlacedRequest, RequestTrait } from '@pollendrum/policy';
 import type { LeasedConnection } from './backend-connections';
 import { startAttempt } from './backend-attempt';
 import type { ResponseHead, AttemptEnd, AttemptHandlers, RunningAttempt } from './backend-attempt';
@@ -25,10 +25,15 @@
 /** Longest wait for whether a server has ended before the request is repeated, in milliseconds. */
 const MAX_CRASH_CHECK_WAIT_MS = 50;
 
+/** When a server may be there that replaces one that leaves; servers start within seconds. */
+const REPLACEMENT_ROOM: LimitRoom = { roomInMs: 1_000, intervalMs: 0 };
+
 /** Why a request was not sent to a server. */
 export type DispatchRejection =
   /** No untried backend server of the service is ready. */
   | { kind: 'no-server' }
+  /** Servers of the service are listed, and none of them takes requests of this instance now. */
+  | { kind: 'unavailable'; retryAfterMs: number }
   /** The limits of the service's servers leave no room, or leave it to more urgent requests. */
   | { kind: 'limited'; retryAfterMs: number }
   /** All connections to the server that the instance may open are in use. */
@@ -59,6 +64,8 @@
   private readonly serviceName: string;
   private readonly service: Service | undefined;
   private sendCount = 0;
+  /** Whether the retry budget has a send for this request that was withdrawn. */
+  private hasUnusedSend = false;
   private crashCheck: Promise<void> | undefined;
 
   constructor(private readonly exchange: Exchange) {
@@ -118,17 +125,19 @@
   }
 
   #rejectWithoutServer(nowMs: number): DispatchRejection {
-    const { registry, limitSharing, limitedAdmissions } = this.exchange.context;
+    const { registry, availability, limitSharing, limitedAdmissions } = this.exchange.context;
     const untried = registry
       .listReady(this.serviceName)
       .filter(({ serverId }) => !this.triedServerIds.has(serverId));
-    const room = limitSharing.estimateRoom(untried, nowMs);
+    const available = untried.filter((server) => availability.judge(server).kind === 'available');
+    const limitRoom = limitSharing.estimateRoom(available, nowMs);
+    const room = limitRoom ?? (available.length < untried.length ? REPLACEMENT_ROOM : undefined);
     if (room === undefined) return { kind: 'no-server' };
     const remainingMs = this.exchange.getRemainingMs();
     const retryAfterMs = limitedAdmissions
       .get(this.serviceName)
       .recordRefusal(this.exchange.input.rank, { ...room, remainingMs }, nowMs);
-    return { kind: 'limited', retryAfterMs };
+    return { kind: limitRoom === undefined ? 'unavailable' : 'limited', retryAfterMs };
   }
 
   /** Sends the request. `onEnd` is called after the load, the attempt record and the metrics have been updated. */
@@ -140,7 +149,6 @@
     const { context, input } = this.exchange;
     const { choice, record, connection } = dispatch;
     const startedAtMs = context.clock();
-    context.leavingObserver.observeSend(choice.server);
     const overdueTimer = this.#startOverdueTimer(choice);
     const headers = context.codec.encodeRequest(input.request.rawHeaders, {
       remainingMs: this.exchange.getRemainingMs(),
@@ -165,6 +173,7 @@
           this.#observeLimit(dispatch, head);
           handlers.onResponse(head);
         },
+        checkSend: () => this.#checkSend(choice.server),
         onData: (chunk) => {
           clearTimeout(overdueTimer);
           return handlers.onData(chunk);
@@ -172,6 +181,7 @@
         onEnd: (end: AttemptEnd) => {
           clearTimeout(overdueTimer);
           if (end.kind === 'broken') this.observeBrokenAttempt(dispatch);
+          if (end.kind === 'withdrawn') this.#recordWithdrawal();
           this.#recordResult(
             dispatch,
             end.kind === 'complete' ? record.result : end.kind,
@@ -199,6 +209,24 @@
     this.exchange.context.quarantine.recordAnswer(this.exchange);
   }
 
+  /** Returns why a request that waited for its connection is not sent any more; undefined if it is. */
+  #checkSend(server: BackendServer): string | undefined {
+    const { availability } = this.exchange.context;
+    const judgement = availability.judge(server);
+    switch (judgement.kind) {
+      case 'available':
+        return undefined;
+      case 'leaving':
+        return 'the server leaves';
+    }
+  }
+
+  /** The server got nothing, so that the send does not count. */
+  #recordWithdrawal(): void {
+    this.sendCount -= 1;
+    this.hasUnusedSend = true;
+  }
+
   #recordLimitedSend(server: BackendServer, nowMs: number): void {
     const { limitSharing, limitedAdmissions } = this.exchange.context;
     if (limitSharing.judge(server, nowMs).kind === 'unlimited') return;
@@ -286,6 +314,10 @@
 
   #takeRetryBudget(nowMs: number): boolean {
     const { retryBudget, settings } = this.exchange.context;
+    if (this.hasUnusedSend) {
+      this.hasUnusedSend = false;
+      return true;
+    }
     if (this.sendCount === 0) {
       retryBudget.recordFirstAttempt(this.serviceName, nowMs);
       return true;
@@ -346,6 +378,7 @@
     case 'no-budget':
       return defaultMs;
     case 'held-back':
+    case 'unavailable':
     case 'limited':
     case 'too-late':
       return rejection.retryAfterMs;
@@ -372,6 +405,8 @@
   switch (rejection.kind) {
     case 'no-server':
       return 'no backend server is left to try';
+    case 'unavailable':
+      return 'no backend server takes requests now';
     case 'limited':
       return "the backend servers' limits leave no room";
     case 'no-connection':
--- /dev/null
+++ b/packages/gateway/src/server-availability.ts
@@ -0,0 +1,102 @@
+import { LeavingServers } from '@pollendrum/policy';
+import type { BackendServer } from './bundle';
+import type { FleetGossip } from './fleet-gossip';
+import type { LeavingFact } from './gossip-codec';
+import type { Clock } from './log-and-clock';
+import { makeServerKey, parseServerId } from './server-key';
+import type { ServerChange } from './server-registry';
+
+/** Whether this instance may send requests to a server now. */
+export type Availability = { kind: 'available' } | { kind: 'leaving' };
+
+/** What says first that a server leaves: the head of an answer, its entry in the store, or another instance. */
+export type LeavingSource =
+  { kind: 'answer'; status: number } | { kind: 'entry' } | { kind: 'instance' };
+
+export interface ServerAvailabilityOptions {
+  /** Spreads the news that a server leaves. */
+  publish: FleetGossip['publish'];
+  clock: Clock;
+  /** Returns a server as it is listed; undefined when it is not. */
+  getServer(serverId: string): BackendServer | undefined;
+  /** Called when this instance learns that a server leaves. */
+  onLeaving(server: BackendServer, source: LeavingSource): void;
+}
+
+/**
+ * Keeps what backend servers say about taking requests, in their entries and in their answers, and judges whether a request
+ * may be sent to one of them. What is known belongs to one start of a server.
+ */
+export class ServerAvailability {
+  private readonly leaving: LeavingServers;
+
+  constructor(private readonly options: ServerAvailabilityOptions) {
+    this.leaving = new LeavingServers((serverKey) => this.#findListed(serverKey) !== undefined);
+  }
+
+  judge(server: BackendServer): Availability {
+    if (this.leaving.has(makeServerKey(server))) return { kind: 'leaving' };
+    return { kind: 'available' };
+  }
+
+  /** Records that a start of a server leaves, and tells the other instances what they cannot read in its entry. */
+  recordLeaving(server: BackendServer, source: LeavingSource): void {
+    const { clock, publish, onLeaving } = this.options;
+    const serverKey = makeServerKey(server);
+    if (!this.leaving.record(serverKey, clock())) return;
+    onLeaving(server, source);
+    if (!this.#isNewsToOthers(serverKey)) return;
+    publish(`leaving ${serverKey}`, () =>
+      this.#isNewsToOthers(serverKey) ? { kind: 'leaving', serverKey } : undefined,
+    );
+  }
+
+  /** Takes in a fact of another instance, which may not know yet that the server's process has ended. */
+  mergeFact({ serverKey }: LeavingFact): void {
+    const server = this.#findListed(serverKey);
+    if (server !== undefined) this.recordLeaving(server, { kind: 'instance' });
+  }
+
+  /** Lists the servers that leave without saying so in their entries. */
+  listFacts(): LeavingFact[] {
+    return this.leaving
+      .listListed()
+      .filter((serverKey) => this.#isNewsToOthers(serverKey))
+      .map((serverKey) => ({ kind: 'leaving', serverKey }));
+  }
+
+  handleServerChange(change: ServerChange): void {
+    const { server } = change;
+    if (isNewUnnamedStart(change)) this.leaving.remove(makeServerKey(server));
+    if (change.kind !== 'removed' && server.state === 'draining') {
+      this.recordLeaving(server, { kind: 'entry' });
+    }
+  }
+
+  /**
+   * Whether the other instances cannot read from the server's entry that it leaves. Starts without a start time are not told
+   * to others, since a late message would be taken for one about the next start.
+   */
+  #isNewsToOthers(serverKey: string): boolean {
+    const server = this.#findListed(serverKey);
+    return server?.startedAtUnixMs !== undefined && server.state === 'ready';
+  }
+
+  #findListed(serverKey: string): BackendServer | undefined {
+    const server = this.options.getServer(parseServerId(serverKey));
+    return server !== undefined && makeServerKey(server) === serverKey ? server : undefined;
+  }
+}
+
+/** Whether a server without a start time may have started again, so that it shares its key with the start before. */
+function isNewUnnamedStart(change: ServerChange): boolean {
+  if (change.server.startedAtUnixMs !== undefined) return false;
+  switch (change.kind) {
+    case 'added':
+      return false;
+    case 'changed':
+      return change.isRestarted;
+    case 'removed':
+      return true;
+  }
+}
--- a/packages/gateway/src/server-chooser.ts
+++ b/packages/gateway/src/server-chooser.ts
@@ -21,6 +21,7 @@
 import type { BackendServer, Route, Service } from './bundle';
 import type { LimitSharing } from './limit-sharing';
 import type { RequestHead } from './header-codec';
+import type { ServerAvailability } from './server-availability';
 import type { ServerRegistry } from './server-registry';
 
 /** The server chosen for a request and the prediction behind the choice. */
@@ -67,6 +68,7 @@
   failures: FailureTracker;
   speeds: SpeedTracker;
   groups: InstanceGroups;
+  availability: Pick<ServerAvailability, 'judge'>;
   limits: Pick<LimitSharing, 'judge'>;
 }
 
@@ -111,32 +113,36 @@
   }
 
   /**
-   * Selects the untried servers whose limits leave room: those of the group, or else all others that name no limit, since
-   * the limits of servers outside the group are shared by other instances.
+   * Selects the untried servers that are available and whose limits leave room: those of the group, or else all others that
+   * name no limit, since the limits of servers outside the group are shared by other instances.
    */
   #selectUsable(
     { serviceName, excludedServerIds, avoidsLimitedServers }: ServerChoiceRequest,
     group: ServerChoices,
     nowMs: number,
   ): UsableServers {
-    const { registry, limits } = this.options;
-    const selectAllowed = (
-      servers: readonly BackendServer[],
-      allowed: readonly LimitJudgement['kind'][],
-    ) =>
+    const { registry, limits, availability } = this.options;
+    const selectUntried = (servers: readonly BackendServer[]) =>
       servers.filter(
         (server) =>
           !excludedServerIds.has(server.serverId) &&
-          allowed.includes(limits.judge(server, nowMs).kind),
+          availability.judge(server).kind === 'available',
       );
+    const selectAllowed = (
+      servers: readonly BackendServer[],
+      allowed: readonly LimitJudgement['kind'][],
+    ) => servers.filter((server) => allowed.includes(limits.judge(server, nowMs).kind));
+    const untried = selectUntried(group.servers);
     const inGroup = selectAllowed(
-      group.servers,
+      untried,
       avoidsLimitedServers ? ['unlimited'] : ['unlimited', 'room'],
     );
     const servers =
-      inGroup.length > 0 ? inGroup : selectAllowed(registry.listReady(serviceName), ['unlimited']);
-    const leftOutCount = group.servers.length - inGroup.length - excludedServerIds.size;
-    return { servers, peerFactor: group.peerFactor, replacesLimited: leftOutCount > 0 };
+      inGroup.length > 0
+        ? inGroup
+        : selectAllowed(selectUntried(registry.listReady(serviceName)), ['unlimited']);
+    const replacesLimited = inGroup.length < untried.length;
+    return { servers, peerFactor: group.peerFactor, replacesLimited };
   }
 
   /** Selects the ready servers that the group of this instance uses; the selection is kept until the lists change. */
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -41,8 +41,7 @@
       this.onChange({ kind: 'added', server });
       return;
     }
-    const isRestarted = previous.startedAtUnixMs !== server.startedAtUnixMs;
-    this.onChange({ kind: 'changed', server, isRestarted });
+    this.onChange({ kind: 'changed', server, isRestarted: hasRestarted(previous, server) });
   }
 
   /**
@@ -93,3 +92,11 @@
     return this.servers.size;
   }
 }
+
+/** Whether an entry comes from another start of the server than the one before it. */
+function hasRestarted(previous: BackendServer, server: BackendServer): boolean {
+  if (previous.startedAtUnixMs !== server.startedAtUnixMs) return true;
+  if (server.startedAtUnixMs !== undefined) return false;
+  if (previous.host !== server.host || previous.port !== server.port) return true;
+  return (server.heartbeats ?? Infinity) < (previous.heartbeats ?? 0);
+}
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -211,7 +211,8 @@
     return isEmpty && !isFramed(head) ? 'the stream ended before its first event' : undefined;
   }
 
-  #observe(observation: 'unreachable' | 'full' | 'error'): void {
+  #observe(observation: 'unreachable' | 'full' | 'error' | undefined): void {
+    if (observation === undefined) return;
     const { exchange, dispatch } = this.options;
     const { failures, clock } = exchange.context;
     failures.observe(dispatch.choice.server.serverId, observation, clock());
--- a/packages/gateway/test/attempt-outcome.test.ts
+++ b/packages/gateway/test/attempt-outcome.test.ts
@@ -18,6 +18,11 @@
     end: { kind: 'not-sent', reason: 'refused' },
     expected: 'not-run',
   },
+  {
+    name: 'an attempt that was withdrawn',
+    end: { kind: 'withdrawn', reason: 'the server leaves' },
+    expected: 'not-run',
+  },
   { name: 'a broken attempt', end: { kind: 'broken', reason: 'reset' }, expected: 'may-have-run' },
   { name: 'a response without a head', expected: 'may-have-run' },
   {
--- a/packages/gateway/test/backend-attempt.test.ts
+++ b/packages/gateway/test/backend-attempt.test.ts
@@ -85,7 +85,10 @@
   },
 ];
 
-function runAttempt(connections: BackendConnections) {
+function runAttempt(
+  connections: BackendConnections,
+  checkSend: () => string | undefined = () => undefined,
+) {
   const connection = connections.takeConnection(4, true);
   if (connection === undefined) throw new Error('no connection is free');
   return new Promise<{ end: AttemptEnd; body: string }>((resolve) => {
@@ -94,6 +97,7 @@
       connection,
       { method: 'GET', path: '/a?b=1', headers: ['Host', 'service.test'], body: undefined },
       {
+        checkSend,
         onResponse: () => undefined,
         onData: (chunk) => {
           body += chunk.toString();
@@ -123,6 +127,26 @@
   expect(end.kind).toBe('not-sent');
 });
 
+// Guards against requests that reach a server which was ruled out between the choice and the first byte.
+test.each([
+  { name: 'a new connection', usesIdle: false },
+  { name: 'an idle connection', usesIdle: true },
+])('a withdrawn attempt writes nothing: $name', async ({ usesIdle }) => {
+  let received = 0;
+  await using backend = await startRawBackend((socket) => {
+    received += 1;
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+  });
+  await using connections = createConnections(backend.port);
+  if (usesIdle) await runAttempt(connections);
+  const receivedBefore = received;
+  const { end } = await runAttempt(connections, () => 'the server leaves');
+  await sleep(BLOCK_MS);
+  expect(end).toEqual({ kind: 'withdrawn', reason: 'the server leaves' });
+  expect(received).toBe(receivedBefore);
+  expect((await runAttempt(connections)).end.kind).toBe('complete');
+});
+
 test('a complete response leaves the connection for the next request', async () => {
   await using backend = await startRawBackend((socket) =>
     socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'),
--- a/packages/gateway/test/fleet-gossip.test.ts
+++ b/packages/gateway/test/fleet-gossip.test.ts
@@ -29,7 +29,8 @@
     clock: () => performance.now(),
     log: createTestLog([]),
     onFact: (fact) => {
-      if (fact.kind === 'limit' || fact.kind === 'probe' || known.has(fact.trait)) return;
+      if (fact.kind !== 'crash' && fact.kind !== 'sound') return;
+      if (known.has(fact.trait)) return;
       known.set(fact.trait, fact);
       gossip.publish(fact.trait, () => fact);
     },
--- a/packages/gateway/test/server-chooser.test.ts
+++ b/packages/gateway/test/server-chooser.test.ts
@@ -34,6 +34,7 @@
     prefixes: new PrefixCacheTracker(),
     failures: new FailureTracker(),
     speeds: new SpeedTracker(),
+    availability: { judge: () => ({ kind: 'available' }) },
     limits: {
       judge: ({ serverId }) =>
         hasRoom(serverId) ? { kind: 'unlimited' } : { kind: 'no-room', roomInMs: 100 },
--- a/packages/policy/src/availability/index.ts
+++ b/packages/policy/src/availability/index.ts
@@ -1,1 +1,2 @@
+export * from './leaving-servers';
 export * from './server-pauses';
