Connect to the address of a server's present entry

What callers saw: a server that started again under its id at another address got no requests; they were sent to the old address and failed.

Cause: the connections of a server were kept by its id, with the address of the first entry, until the entry was removed.

Change: connections are made anew when the address has changed; those in use end with their requests.

--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -49,7 +49,7 @@
   private isClosed = false;
 
   constructor(
-    private readonly origin: string,
+    readonly origin: string,
     private readonly clock: () => number,
     private readonly traffic: TrafficMeter,
   ) {}
--- a/packages/gateway/src/backend-pool.ts
+++ b/packages/gateway/src/backend-pool.ts
@@ -49,13 +49,12 @@
   }
 
   #getConnections(server: BackendServer): BackendConnections {
+    const origin = `http://${server.host}:${server.port}`;
     const existing = this.servers.get(server.serverId);
-    if (existing !== undefined) return existing;
-    const created = new BackendConnections(
-      `http://${server.host}:${server.port}`,
-      this.clock,
-      this.traffic,
-    );
+    if (existing?.origin === origin) return existing;
+    // A server may start again under its id at another address. Requests in progress end at the old one.
+    void existing?.[Symbol.asyncDispose]();
+    const created = new BackendConnections(origin, this.clock, this.traffic);
     this.servers.set(server.serverId, created);
     return created;
   }
