Send no requests to backend servers that have asked for a pause

What callers saw: a server that turned requests away with 503 and Retry-After got up to 12 to 36 requests from one instance in the time in which it wanted none; 2 are allowed (BUDGET). Callers were told to come back 0.7 to 1.2 s too soon when all servers paused. 84 of 84 instances returned within 200 ms of the end.

Cause: the header was not read.

Change: ServerAvailability takes in the time from each 503 and judges a paused server at the choice and just before the first byte. Afterwards an instance returns at a time of its own, with one request at first, more urgent ones before others. When all servers pause, callers are told the soonest return, one after the other. LeavingObserver becomes AvailabilityObserver, which reads both notices.

--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -80,15 +80,18 @@
     });
     this.archive = new QuarantineArchive({ store, quarantine: this.quarantine, clock, log });
     const getServer = (serverId: string) => registry.get(serverId);
-    this.availability = new ServerAvailability({ publish, clock, getServer, onLeaving });
+    const listUsers = (onlyGroup: boolean) =>
+      onlyGroup ? groups.selectMembers(this.instances) : this.instances;
+    const isDivided = (service: string) => groups.isDivided(registry.listReady(service).length);
+    this.availability = new ServerAvailability({
+      ...{ publish, clock, getServer, onLeaving },
+      countInstances: (service) => listUsers(isDivided(service)).length,
+    });
     this.limitSharing = new LimitSharing({
       ...{ instanceId, socket, publish, clock, log },
-      isDivided: (service) => groups.isDivided(registry.listReady(service).length),
+      isDivided,
       getServer,
-      listInstanceIds: (isDivided) => {
-        const users = isDivided ? groups.selectMembers(this.instances) : this.instances;
-        return users.map((instance) => instance.instanceId);
-      },
+      listInstanceIds: (onlyGroup) => listUsers(onlyGroup).map(({ instanceId }) => instanceId),
     });
     this.instanceWatch = new InstanceWatch({
       ...{ instanceId, gossip: this.gossip, clock, log },
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -6,12 +6,12 @@
   RetryBudget,
 } from '@pollendrum/policy';
 import type { GatewaySettings } from '@pollendrum/protocol';
+import type { AvailabilityObserver } from './availability-observer';
 import type { BackendPool } from './backend-pool';
 import type { CrashObserver } from './crash-observer';
 import type { GatewayMetrics } from './gateway-metrics';
 import type { HeaderCodec } from './header-codec';
 import type { KeyFreshness } from './key-freshness';
-import type { LeavingObserver } from './leaving-observer';
 import type { LimitObserver } from './limit-observer';
 import type { LimitSharing } from './limit-sharing';
 import type { LimitedAdmissions } from './limited-admissions';
@@ -40,7 +40,7 @@
   backendPool: BackendPool;
   crashObserver: CrashObserver;
   availability: ServerAvailability;
-  leavingObserver: LeavingObserver;
+  availabilityObserver: AvailabilityObserver;
   limitObserver: LimitObserver;
   limitSharing: LimitSharing;
   limitedAdmissions: LimitedAdmissions;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -17,6 +17,7 @@
   openRequests: Gauge;
   serverCrashes: Counter<'service'>;
   leavingServers: Counter<'service' | 'source'>;
+  serverPauses: Counter<'service'>;
   /** Renders all metrics in the Prometheus text exposition format. */
   renderText(): Promise<string>;
 }
@@ -78,6 +79,12 @@
       labelNames: ['service'],
       registers,
     }),
+    serverPauses: new Counter({
+      name: 'pollendrum_server_pauses_total',
+      help: 'Answers in which backend servers ask for a pause, by service.',
+      labelNames: ['service'],
+      registers,
+    }),
     leavingServers: new Counter({
       name: 'pollendrum_leaving_servers_total',
       help: 'Backend servers of which the instance has heard that they leave, by service and first source.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
   SpeedTracker,
 } from '@pollendrum/policy';
 import type { GatewaySettings } from '@pollendrum/protocol';
+import { AvailabilityObserver } from './availability-observer';
 import { BackendPool } from './backend-pool';
 import type { BackendServer, RouteBundle } from './bundle';
 import { createCallerServer } from './caller-server';
@@ -22,7 +23,6 @@
 import type { HeaderNames } from './header-codec';
 import { KeyFreshness } from './key-freshness';
 import type { ReportedPrompt } from './load-report-codec';
-import { LeavingObserver } from './leaving-observer';
 import { LimitObserver } from './limit-observer';
 import { LimitedAdmissions } from './limited-admissions';
 import type { PeerAddress } from './peer-socket';
@@ -142,11 +142,14 @@
         },
       }),
       quarantine,
-      leavingObserver: new LeavingObserver({
+      availabilityObserver: new AvailabilityObserver({
         log,
         onLeaving: (server, status) => {
           availability.recordLeaving(server, { kind: 'answer', status });
         },
+        onPause: (server, durationMs) => {
+          this.#handlePause(server, durationMs);
+        },
       }),
       limitObserver: new LimitObserver({
         log,
@@ -329,6 +332,14 @@
     this.context.backendPool.discardIdle(serverId);
   }
 
+  #handlePause(server: BackendServer, durationMs: number): void {
+    const { serverId, service } = server;
+    this.context.availability.recordPause(server, durationMs);
+    if (durationMs === 0) return;
+    this.options.log.info('backend server asks for a pause', { serverId, service, durationMs });
+    this.context.metrics.serverPauses.inc({ service });
+  }
+
   #handlePeerPrompt(prompt: ReportedPrompt): void {
     const serviceName = this.context.registry.get(prompt.serverId)?.service;
     if (serviceName === undefined) return;
@@ -358,7 +369,8 @@
     const { serverId } = change.server;
     this.options.log.info(`backend server ${change.kind}`, { ...change.server });
     this.fleetExchange.handleServerChange(change);
-    const { failures, loads, prefixes, backendPool, leavingObserver, limitObserver } = this.context;
+    const { failures, loads, prefixes, backendPool, availabilityObserver, limitObserver } =
+      this.context;
     switch (change.kind) {
       case 'added':
         return;
@@ -370,7 +382,7 @@
         backendPool.discardIdle(serverId);
         return;
       case 'removed':
-        leavingObserver.removeServer(serverId);
+        availabilityObserver.removeServer(serverId);
         limitObserver.removeServer(serverId);
         failures.removeServer(serverId);
         prefixes.removeServer(serverId);
--- a/packages/gateway/src/request-dispatcher.ts
+++ b/packages/gateway/src/request-dispatcher.ts
@@ -1,12 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { chooseAdmission } from '@pollendrum/policy';
-import type { LimitRoom, PlacedRequest, RequestTrait } from '@pollendrum/policy';
+import type { PlacedRequest, RequestTrait, ReturningSend } from '@pollendrum/policy';
 import type { LeasedConnection } from './backend-connections';
 import { startAttempt } from './backend-attempt';
 import type { ResponseHead, AttemptEnd, AttemptHandlers, RunningAttempt } from './backend-attempt';
 import type { Exchange } from './exchange';
 import { recordPrompt } from './gateway-context';
 import type { AttemptRecord } from './request-log';
+import { decodeRetryAfter } from './retry-after';
 import type { ServerChoice } from './server-chooser';
 import type { BackendServer, Service } from './bundle';
 
@@ -20,14 +21,12 @@
 const OVERDUE_MARGIN_MS = 600;
 /** Another server answers under the address. */
 const MISDIRECTED_REQUEST = 421;
+const SERVICE_UNAVAILABLE = 503;
 /** Share of the configured retry ratio that is used; the rest is a margin, as windows of the ratio are not aligned. */
 const RETRY_RATIO_SHARE = 0.75;
 /** Longest wait for whether a server has ended before the request is repeated, in milliseconds. */
 const MAX_CRASH_CHECK_WAIT_MS = 50;
 
-/** When a server may be there that replaces one that leaves; servers start within seconds. */
-const REPLACEMENT_ROOM: LimitRoom = { roomInMs: 1_000, intervalMs: 0 };
-
 /** Why a request was not sent to a server. */
 export type DispatchRejection =
   /** No untried backend server of the service is ready. */
@@ -50,6 +49,8 @@
   choice: ServerChoice;
   record: AttemptRecord;
   placed: PlacedRequest;
+  /** Set when the server returns from a pause. */
+  returningSend: ReturningSend | undefined;
   connection: LeasedConnection;
   /** Whether the server has begun its answer: an event of a stream, or a complete plain response, has arrived. */
   hasAnswerBegun: boolean;
@@ -100,7 +101,7 @@
         tightestPauseTargetMs: context.getRouteTable()?.getTightestPauseTargetMs(this.serviceName),
         remainingMs: this.exchange.getRemainingMs(),
         excludedServerIds: this.triedServerIds,
-        avoidsLimitedServers: context.limitedAdmissions
+        avoidsRestrictedServers: context.limitedAdmissions
           .get(this.serviceName)
           .hasToYield(input.rank, nowMs),
       },
@@ -129,15 +130,19 @@
     const untried = registry
       .listReady(this.serviceName)
       .filter(({ serverId }) => !this.triedServerIds.has(serverId));
-    const available = untried.filter((server) => availability.judge(server).kind === 'available');
+    const available = untried.filter(
+      (server) => availability.judge(server, nowMs).kind === 'available',
+    );
     const limitRoom = limitSharing.estimateRoom(available, nowMs);
-    const room = limitRoom ?? (available.length < untried.length ? REPLACEMENT_ROOM : undefined);
+    const otherRoom = availability.estimateRoom(untried, nowMs);
+    const isLimited = (limitRoom?.roomInMs ?? Infinity) <= (otherRoom?.roomInMs ?? Infinity);
+    const room = isLimited ? limitRoom : otherRoom;
     if (room === undefined) return { kind: 'no-server' };
     const remainingMs = this.exchange.getRemainingMs();
     const retryAfterMs = limitedAdmissions
       .get(this.serviceName)
       .recordRefusal(this.exchange.input.rank, { ...room, remainingMs }, nowMs);
-    return { kind: limitRoom === undefined ? 'unavailable' : 'limited', retryAfterMs };
+    return { kind: isLimited ? 'limited' : 'unavailable', retryAfterMs };
   }
 
   /** Sends the request. `onEnd` is called after the load, the attempt record and the metrics have been updated. */
@@ -169,8 +174,7 @@
       {
         onResponse: (head: ResponseHead) => {
           record.firstByteMs ??= Math.round(context.clock() - startedAtMs);
-          this.#observeLeaving(dispatch, head);
-          this.#observeLimit(dispatch, head);
+          this.#observeHead(dispatch, head);
           handlers.onResponse(head);
         },
         checkSend: () => this.#checkSend(choice.server),
@@ -211,11 +215,15 @@
 
   /** Returns why a request that waited for its connection is not sent any more; undefined if it is. */
   #checkSend(server: BackendServer): string | undefined {
-    const { availability } = this.exchange.context;
-    const judgement = availability.judge(server);
+    const { availability, clock } = this.exchange.context;
+    const judgement = availability.judge(server, clock());
     switch (judgement.kind) {
       case 'available':
+      case 'returning':
+      case 'returning-full':
         return undefined;
+      case 'paused':
+        return 'the server has asked for a pause';
       case 'leaving':
         return 'the server leaves';
     }
@@ -227,29 +235,38 @@
     this.hasUnusedSend = true;
   }
 
-  #recordLimitedSend(server: BackendServer, nowMs: number): void {
-    const { limitSharing, limitedAdmissions } = this.exchange.context;
-    if (limitSharing.judge(server, nowMs).kind === 'unlimited') return;
-    limitSharing.recordSend(server);
-    limitedAdmissions.get(this.serviceName).recordAdmission(this.exchange.input.rank, nowMs);
+  /** Counts a request to a server that names a limit or returns from a pause. */
+  #recordRestrictedSend(server: BackendServer, nowMs: number): ReturningSend | undefined {
+    const { availability, limitSharing, limitedAdmissions } = this.exchange.context;
+    const isLimited = limitSharing.judge(server, nowMs).kind !== 'unlimited';
+    if (isLimited) limitSharing.recordSend(server);
+    const returningSend = availability.recordSend(server);
+    if (isLimited || returningSend !== undefined) {
+      limitedAdmissions.get(this.serviceName).recordAdmission(this.exchange.input.rank, nowMs);
+    }
+    return returningSend;
   }
 
-  /** Takes in whether the server says that it leaves, also in an answer without proof or to another request. */
-  #observeLeaving({ choice }: Dispatch, { status, headers }: ResponseHead): void {
+  /**
+   * Takes in what the server says about itself in the head of an answer. That it leaves or wants a pause counts also without
+   * proof or with another request's id; an answer with 421 is that of another server.
+   */
+  #observeHead({ choice, returningSend }: Dispatch, { status, headers }: ResponseHead): void {
     if (status === MISDIRECTED_REQUEST) return;
-    const { codec, leavingObserver } = this.exchange.context;
-    leavingObserver.observeAnswer(choice.server, codec.decodeLeaving(headers), status);
-  }
-
-  /** Takes in the limit that the server names; an answer without proof that it is the server's is left out. */
-  #observeLimit({ choice }: Dispatch, { status, headers }: ResponseHead): void {
-    const { codec, limitObserver } = this.exchange.context;
+    const { server } = choice;
+    const { codec, availability, availabilityObserver, limitObserver } = this.exchange.context;
     const { requestId } = this.exchange.input.head;
     const decoded = codec.decodeResponse(status, headers, requestId);
-    const isFromServer =
-      (decoded.kind === 'not-run' && status !== MISDIRECTED_REQUEST) ||
-      (decoded.kind === 'answer' && decoded.isSigned);
-    if (isFromServer) limitObserver.observeAnswer(choice.server, codec.decodeServerLimit(headers));
+    availabilityObserver.observeLeaving(server, codec.decodeLeaving(headers), status);
+    const isRefusal = status === SERVICE_UNAVAILABLE || decoded.kind === 'not-run';
+    if (returningSend !== undefined) {
+      availability.recordHead(returningSend, isRefusal ? 'refusal' : 'answer');
+    }
+    if (status === SERVICE_UNAVAILABLE) {
+      availabilityObserver.observeRetryAfter(server, decodeRetryAfter(headers, Date.now()));
+    }
+    const isProven = decoded.kind === 'not-run' || (decoded.kind === 'answer' && decoded.isSigned);
+    if (isProven) limitObserver.observeAnswer(server, codec.decodeServerLimit(headers));
   }
 
   /** Takes in an attempt that broke, so that its traits are suspects if the server has ended. */
@@ -279,6 +296,8 @@
     dispatch.record.result = result;
     dispatch.record.elapsedMs = Math.round(context.clock() - startedAtMs);
     context.loads.remove(dispatch.placed);
+    if (dispatch.returningSend !== undefined)
+      context.availability.recordEnd(dispatch.returningSend);
     context.metrics.attempts.inc({ service: this.serviceName, result });
   }
 
@@ -348,7 +367,7 @@
       elapsedMs: 0,
     };
     context.loads.add(placed, nowMs);
-    this.#recordLimitedSend(choice.server, nowMs);
+    const returningSend = this.#recordRestrictedSend(choice.server, nowMs);
     this.exchange.attempts.push(record);
     const engine = this.service?.engine;
     if (engine !== undefined) {
@@ -357,7 +376,7 @@
       recordPrompt(context, { serverId, parts }, engine.kvTokens);
       context.reportPrompt(serverId, parts.slice(0, -1));
     }
-    return { choice, record, placed, connection, hasAnswerBegun: false };
+    return { choice, record, placed, returningSend, connection, hasAnswerBegun: false };
   }
 }
 
--- a/packages/gateway/src/server-chooser.ts
+++ b/packages/gateway/src/server-chooser.ts
@@ -21,7 +21,7 @@
 import type { BackendServer, Route, Service } from './bundle';
 import type { LimitSharing } from './limit-sharing';
 import type { RequestHead } from './header-codec';
-import type { ServerAvailability } from './server-availability';
+import type { Availability, ServerAvailability } from './server-availability';
 import type { ServerRegistry } from './server-registry';
 
 /** The server chosen for a request and the prediction behind the choice. */
@@ -56,8 +56,8 @@
   /** Time left for the whole response, in milliseconds. */
   remainingMs: number;
   excludedServerIds: ReadonlySet<string>;
-  /** Whether the request leaves the servers that name limits to more urgent ones. */
-  avoidsLimitedServers: boolean;
+  /** Whether the request leaves the servers that name limits or return from a pause to more urgent ones. */
+  avoidsRestrictedServers: boolean;
 }
 
 export interface ServerChooserOptions {
@@ -117,16 +117,19 @@
    * name no limit, since the limits of servers outside the group are shared by other instances.
    */
   #selectUsable(
-    { serviceName, excludedServerIds, avoidsLimitedServers }: ServerChoiceRequest,
+    { serviceName, excludedServerIds, avoidsRestrictedServers }: ServerChoiceRequest,
     group: ServerChoices,
     nowMs: number,
   ): UsableServers {
     const { registry, limits, availability } = this.options;
+    const available: readonly Availability['kind'][] = avoidsRestrictedServers
+      ? ['available']
+      : ['available', 'returning'];
     const selectUntried = (servers: readonly BackendServer[]) =>
       servers.filter(
         (server) =>
           !excludedServerIds.has(server.serverId) &&
-          availability.judge(server).kind === 'available',
+          available.includes(availability.judge(server, nowMs).kind),
       );
     const selectAllowed = (
       servers: readonly BackendServer[],
@@ -135,7 +138,7 @@
     const untried = selectUntried(group.servers);
     const inGroup = selectAllowed(
       untried,
-      avoidsLimitedServers ? ['unlimited'] : ['unlimited', 'room'],
+      avoidsRestrictedServers ? ['unlimited'] : ['unlimited', 'room'],
     );
     const servers =
       inGroup.length > 0
--- a/packages/gateway/test/leaving-gossip.test.ts
+++ b/packages/gateway/test/leaving-gossip.test.ts
@@ -49,7 +49,7 @@
       listFacts: () => availability.listFacts(),
     });
     const availability: ServerAvailability = new ServerAvailability({
-      ...{ clock, onLeaving: () => undefined },
+      ...{ clock, onLeaving: () => undefined, countInstances: () => instances },
       getServer: (serverId) => listed.get(serverId),
       publish: (key, build, urgency) => {
         gossip.publish(key, build, urgency);
@@ -75,7 +75,7 @@
 });
 
 const isLeaving = ({ availability }: Member, server: BackendServer) =>
-  availability.judge(server).kind === 'leaving';
+  availability.judge(server, performance.now()).kind === 'leaving';
 
 // Guards against requests from instances that have not yet had an answer of a leaving server, against an instance that forgets
 // with its restart, and against a cost that grows with the fleet.
--- a/packages/gateway/test/server-availability.test.ts
+++ b/packages/gateway/test/server-availability.test.ts
@@ -94,7 +94,12 @@
 // it has started again.
 test.each(cases)('a server is $expected after: $name', ({ steps, expected }) => {
   const availability: ServerAvailability = new ServerAvailability({
-    ...{ clock: () => 0, publish: () => undefined, onLeaving: () => undefined },
+    ...{
+      clock: () => 0,
+      publish: () => undefined,
+      onLeaving: () => undefined,
+      countInstances: () => 1,
+    },
     getServer: (serverId) => registry.get(serverId),
   });
   const registry = new ServerRegistry((change) => {
@@ -118,5 +123,5 @@
         break;
     }
   }
-  expect(availability.judge(latest).kind).toBe(expected);
+  expect(availability.judge(latest, 0).kind).toBe(expected);
 });
--- a/packages/gateway/test/server-chooser.test.ts
+++ b/packages/gateway/test/server-chooser.test.ts
@@ -45,7 +45,7 @@
     const head = new HeaderCodec(HEADER_NAMES).decodeRequest({});
     const request = {
       ...{ route, head, serviceName: SERVICE, service: undefined, remainingMs: 1_000 },
-      avoidsLimitedServers: false,
+      avoidsRestrictedServers: false,
     };
     return chooser.choose({ ...request, tightestPauseTargetMs: undefined, excludedServerIds }, 0)
       ?.server.serverId;
