Drop datagrams that are sent after the peer socket has been closed

What operators would see: an instance that stops with open requests ends with the uncaught error ERR_SOCKET_DGRAM_NOT_RUNNING (a process that ends by itself).

Cause: timers of the gossip still send when a request ends during the shutdown, and Node.js throws for a closed socket.

Change: a closed peer socket sends nothing, and closing it twice is allowed.

--- a/packages/gateway/src/peer-socket.ts
+++ b/packages/gateway/src/peer-socket.ts
@@ -52,6 +52,7 @@
 export class PeerSocket implements AsyncDisposable {
   private readonly socket: Socket;
   private readonly handlers = new Map<DatagramKind, DatagramHandler>();
+  private isClosed = false;
 
   constructor(private readonly options: PeerSocketOptions) {
     const { address, port, log, traffic } = options;
@@ -76,6 +77,8 @@
 
   /** Sends a datagram to each receiver with a usable address. A datagram can be lost. */
   send(bytes: Buffer, receivers: readonly SenderAddress[]): void {
+    // Requests that end during a shutdown still cause messages.
+    if (this.isClosed) return;
     const { log, traffic } = this.options;
     traffic.recordBytes('peer', 'sent', bytes.length * receivers.length);
     for (const receiver of receivers) {
@@ -92,6 +95,8 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    if (this.isClosed) return;
+    this.isClosed = true;
     await new Promise<void>((resolve) => {
       this.socket.close(resolve);
     });
--- a/packages/gateway/test/peer-socket.test.ts
+++ b/packages/gateway/test/peer-socket.test.ts
@@ -28,3 +28,15 @@
   expect(bytes.toString()).toBe('facts');
   receiver.close();
 });
+
+// Guards against a process that ends while it stops, since a timer still sends after the socket has been closed.
+test('a datagram after the socket has been closed is dropped', async () => {
+  const socket = new PeerSocket({
+    ...{ address: '127.0.0.1', port: await findFreeUdpPort() },
+    ...{ log: createTestLog([]), traffic: new TrafficMeter() },
+  });
+  await socket[Symbol.asyncDispose]();
+  expect(() => {
+    socket.send(Buffer.from('facts'), [{ address: '127.0.0.1', port: 1 }]);
+  }).not.toThrow();
+});
