Reproduce lookups that fail although their server would answer

server-limits.test.ts failed once in each of three runs beside load, with 502 instead of 503. Traced: an attempt of an idempotent request was cancelled as silent after 335 ms, and its repeat found no room. With one server that answers after 400 ms the caller gets 502 each time: 2 of 2 new cases of plain-requests.test.ts fail.

--- a/packages/gateway/test/plain-requests.test.ts
+++ b/packages/gateway/test/plain-requests.test.ts
@@ -275,3 +275,26 @@
     attempts: [{ serverId: 'one', result: 'broken' }],
   });
 });
+
+const SLOW_ANSWER_MS = 400;
+
+// Guards against lookups that fail because their only server, which would have answered, took longer than usual.
+test.each([
+  { name: 'one server', servers: 1 },
+  { name: 'the other server is draining', servers: 2 },
+])('a lookup waits for a slow answer when no other server takes it: $name', async ({ servers }) => {
+  await using backend = await startRawBackend((socket) => {
+    setTimeout(() => {
+      socket.write(
+        'HTTP/1.1 200 OK\r\ntest-signature: s\r\ntest-attempt: attempt-1\r\ncontent-length: 2\r\n\r\nok',
+      );
+    }, SLOW_ANSWER_MS);
+  });
+  const draining = { ...makeServer('two', 'desk', backend.port), state: 'draining' as const };
+  await using running = await startTestGateway({
+    servers: [makeServer('one', 'desk', backend.port), draining].slice(0, servers),
+  });
+  const response = await sendRequest(running.callerPort, '/stock/1', { method: 'GET' });
+  expect(response.status).toBe(200);
+  expect(response.body).toBe('ok');
+});
