Go on waiting for a lookup that no other server would take

What callers saw: 502 for an idempotent request after 150 ms, although its server would have answered.

Cause: an attempt without a response counts as silent after 150 ms or five times the mean, and was cancelled before it was known whether a repetition could be sent. Without another server, without room under its limit, or without retry budget the caller got 502.

Change: the attempt is cancelled only if a repetition would be sent at that moment, and checked again after the same time.

--- a/packages/gateway/src/plain-request-handler.ts
+++ b/packages/gateway/src/plain-request-handler.ts
@@ -140,13 +140,17 @@
         MIN_RESPONSE_TIMEOUT_MS,
         RESPONSE_TIMEOUT_FACTOR * dispatch.choice.predictedMs,
       );
-      const responseTimer = canRetry
-        ? setTimeout(() => {
-            context.backendPool.discardIdle(serverId);
-            attempt.cancel('silent');
-            settle({ kind: 'silent' });
-          }, responseTimeoutMs)
-        : undefined;
+      const checkSilence = () => {
+        // The attempt may still be answered, and a repetition would not be sent.
+        if (!this.dispatcher.isRepetitionPossible()) {
+          responseTimer = setTimeout(checkSilence, responseTimeoutMs);
+          return;
+        }
+        context.backendPool.discardIdle(serverId);
+        attempt.cancel('silent');
+        settle({ kind: 'silent' });
+      };
+      let responseTimer = canRetry ? setTimeout(checkSilence, responseTimeoutMs) : undefined;
       const settle = (result: PlainAttemptResult) => {
         clearTimeout(responseTimer);
         this.attempt = undefined;
--- a/packages/gateway/src/request-dispatcher.ts
+++ b/packages/gateway/src/request-dispatcher.ts
@@ -92,21 +92,7 @@
     const nowMs = context.clock();
     const judgement = context.quarantine.judgeSend(this.exchange, this.sendCount > 0);
     if (judgement.kind === 'held-back') return { kind: 'refused', rejection: judgement };
-    const choice = context.chooser.choose(
-      {
-        route: input.route,
-        service: this.service,
-        serviceName: this.serviceName,
-        head: input.head,
-        tightestPauseTargetMs: context.getRouteTable()?.getTightestPauseTargetMs(this.serviceName),
-        remainingMs: this.exchange.getRemainingMs(),
-        excludedServerIds: this.triedServerIds,
-        avoidsRestrictedServers: context.limitedAdmissions
-          .get(this.serviceName)
-          .hasToYield(input.rank, nowMs),
-      },
-      nowMs,
-    );
+    const choice = this.#chooseServer(nowMs);
     if (choice === undefined)
       return { kind: 'refused', rejection: this.#rejectWithoutServer(nowMs) };
     const rejection = this.#checkAdmission(choice, firstByteTimeoutMs);
@@ -125,6 +111,36 @@
     return { kind: 'dispatch', dispatch: this.#recordDispatch(choice, connection, nowMs) };
   }
 
+  /** Whether a repetition of the request would be sent to another server now. */
+  isRepetitionPossible(): boolean {
+    const { retryBudget, clock } = this.exchange.context;
+    const nowMs = clock();
+    const percent = this.#computeRetryPercent();
+    return (
+      retryBudget.hasRetry(this.serviceName, nowMs, percent) &&
+      this.#chooseServer(nowMs) !== undefined
+    );
+  }
+
+  #chooseServer(nowMs: number): ServerChoice | undefined {
+    const { context, input } = this.exchange;
+    return context.chooser.choose(
+      {
+        route: input.route,
+        service: this.service,
+        serviceName: this.serviceName,
+        head: input.head,
+        tightestPauseTargetMs: context.getRouteTable()?.getTightestPauseTargetMs(this.serviceName),
+        remainingMs: this.exchange.getRemainingMs(),
+        excludedServerIds: this.triedServerIds,
+        avoidsRestrictedServers: context.limitedAdmissions
+          .get(this.serviceName)
+          .hasToYield(input.rank, nowMs),
+      },
+      nowMs,
+    );
+  }
+
   #rejectWithoutServer(nowMs: number): DispatchRejection {
     const { registry, availability, limitSharing, limitedAdmissions } = this.exchange.context;
     const untried = registry
@@ -332,7 +348,7 @@
   }
 
   #takeRetryBudget(nowMs: number): boolean {
-    const { retryBudget, settings } = this.exchange.context;
+    const { retryBudget } = this.exchange.context;
     if (this.hasUnusedSend) {
       this.hasUnusedSend = false;
       return true;
@@ -341,8 +357,11 @@
       retryBudget.recordFirstAttempt(this.serviceName, nowMs);
       return true;
     }
-    const percent = settings.retryRatio * RETRY_RATIO_SHARE * 100;
-    return retryBudget.takeRetry(this.serviceName, nowMs, percent);
+    return retryBudget.takeRetry(this.serviceName, nowMs, this.#computeRetryPercent());
+  }
+
+  #computeRetryPercent(): number {
+    return this.exchange.context.settings.retryRatio * RETRY_RATIO_SHARE * 100;
   }
 
   #recordDispatch(choice: ServerChoice, connection: LeasedConnection, nowMs: number): Dispatch {
--- a/packages/policy/src/retry-budget.ts
+++ b/packages/policy/src/retry-budget.ts
@@ -22,6 +22,8 @@
 /** Limits the retries of each class to a percentage of its first attempts in a sliding window. */
 export interface RetryBudget {
   recordFirstAttempt(className: string, nowMs: number): void;
+  /** Whether `takeRetry` would take a retry now. */
+  hasRetry(className: string, nowMs: number, budgetPercent?: number): boolean;
   /**
    * Takes one retry from the budget; returns false if the budget is exhausted.
    * `budgetPercent` is a percentage of the first attempts, 10 by default.
@@ -54,18 +56,27 @@
     return kept;
   }
 
+  function hasRetry(
+    className: string,
+    nowMs: number,
+    budgetPercent = DEFAULT_BUDGET_PERCENT,
+  ): boolean {
+    const buckets = getBuckets(className, nowMs);
+    const firstAttempts = buckets.reduce((sum, bucket) => sum + bucket.firstAttempts, 0);
+    const retries = buckets.reduce((sum, bucket) => sum + bucket.retries, 0);
+    const minimum = typeof minimumRetries === 'function' ? minimumRetries() : minimumRetries;
+    return retries < Math.max(minimum, (firstAttempts * budgetPercent) / 100);
+  }
+
   return {
+    hasRetry,
     recordFirstAttempt(className, nowMs) {
       const current = getBuckets(className, nowMs).at(-1) as Bucket;
       current.firstAttempts += 1;
     },
-    takeRetry(className, nowMs, budgetPercent = DEFAULT_BUDGET_PERCENT) {
-      const buckets = getBuckets(className, nowMs);
-      const firstAttempts = buckets.reduce((sum, bucket) => sum + bucket.firstAttempts, 0);
-      const retries = buckets.reduce((sum, bucket) => sum + bucket.retries, 0);
-      const minimum = typeof minimumRetries === 'function' ? minimumRetries() : minimumRetries;
-      if (retries >= Math.max(minimum, (firstAttempts * budgetPercent) / 100)) return false;
-      const current = buckets.at(-1) as Bucket;
+    takeRetry(className, nowMs, budgetPercent) {
+      if (!hasRetry(className, nowMs, budgetPercent)) return false;
+      const current = getBuckets(className, nowMs).at(-1) as Bucket;
       current.retries += 1;
       return true;
     },
