Compute the time of a refusal without counting the instances for each server

Cause: a request that finds no server estimates when one takes requests. The estimate counted the instances for each untried server of the service, also for those that have asked for no pause. Each count selected the ready servers among all servers and sorted all instances by the hash of their ids. Refusals of all kinds pass there, also those by limits.

Change: instances are counted for servers with a pause only, the size of a group is known from the last list of instances, and the ready servers of a service are selected once between two changes.

--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -85,7 +85,8 @@
     const isDivided = (service: string) => groups.isDivided(registry.listReady(service).length);
     this.availability = new ServerAvailability({
       ...{ publish, clock, getServer, onLeaving },
-      countInstances: (service) => listUsers(isDivided(service)).length,
+      countInstances: (service) =>
+        isDivided(service) ? groups.countMembers() : this.instances.length,
     });
     this.limitSharing = new LimitSharing({
       ...{ instanceId, socket, publish, clock, log },
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -17,6 +17,8 @@
   private readonly servers = new Map<string, BackendServer>();
   /** Due time of each deferred removal by server id, in milliseconds of the monotonic clock. */
   private readonly deferredRemovals = new Map<string, number>();
+  /** Ready servers by service, selected since the last change. */
+  private readonly readyServers = new Map<string, readonly BackendServer[]>();
   private graceEndsAtMs = -Infinity;
   private changeCount = 0;
 
@@ -36,7 +38,7 @@
     this.deferredRemovals.delete(server.serverId);
     const previous = this.servers.get(server.serverId);
     this.servers.set(server.serverId, server);
-    this.changeCount += 1;
+    this.#recordChange();
     if (previous === undefined) {
       this.onChange({ kind: 'added', server });
       return;
@@ -57,7 +59,7 @@
     }
     this.deferredRemovals.delete(serverId);
     this.servers.delete(serverId);
-    this.changeCount += 1;
+    this.#recordChange();
     this.onChange({ kind: 'removed', server });
   }
 
@@ -82,15 +84,24 @@
   }
 
   /** Lists the servers of a service that accept new requests. */
-  listReady(service: string): BackendServer[] {
-    return [...this.servers.values()].filter(
+  listReady(service: string): readonly BackendServer[] {
+    const known = this.readyServers.get(service);
+    if (known !== undefined) return known;
+    const selected = [...this.servers.values()].filter(
       (server) => server.service === service && server.state === 'ready',
     );
+    this.readyServers.set(service, selected);
+    return selected;
   }
 
   count(): number {
     return this.servers.size;
   }
+
+  #recordChange(): void {
+    this.changeCount += 1;
+    this.readyServers.clear();
+  }
 }
 
 /** Whether an entry comes from another start of the server than the one before it. */
--- a/packages/gateway/test/store-state.test.ts
+++ b/packages/gateway/test/store-state.test.ts
@@ -166,6 +166,18 @@
   expect(registry.get('a')).toBeDefined();
 });
 
+// Guards against requests whose cost grows with the number of all servers.
+test('the ready servers are selected once between two changes', () => {
+  const { registry } = createRegistry();
+  registry.put(makeServer('a', 'desk', 1));
+  const selected = registry.listReady('desk');
+  expect(registry.listReady('desk')).toBe(selected);
+  registry.put(makeServer('b', 'desk', 2));
+  expect(registry.listReady('desk')).toHaveLength(2);
+  registry.remove('a', 1_000);
+  expect(registry.listReady('desk').map(({ serverId }) => serverId)).toEqual(['b']);
+});
+
 test('servers whose entries expired during an outage of the store are kept for a grace period', () => {
   const { registry } = createRegistry();
   registry.put(makeServer('a', 'desk', 1));
--- a/packages/policy/src/availability/server-pauses.ts
+++ b/packages/policy/src/availability/server-pauses.ts
@@ -119,10 +119,9 @@
   estimateRoom(serverKeys: readonly string[], nowMs: number): LimitRoom | undefined {
     const rooms = serverKeys.flatMap((serverKey) => {
       const judgement = this.judge(serverKey, nowMs);
+      if (judgement.kind === 'open') return [];
       const intervalMs = RETURN_INTERVAL_MS * this.options.countInstances(serverKey);
       switch (judgement.kind) {
-        case 'open':
-          return [];
         case 'returning':
           return [{ roomInMs: 0, intervalMs }];
         case 'returning-full':
--- a/packages/policy/src/placement/instance-groups.ts
+++ b/packages/policy/src/placement/instance-groups.ts
@@ -43,6 +43,11 @@
     return this.#selectOwnShare(sortByHash(instances, ({ instanceId }) => instanceId));
   }
 
+  /** Counts the members of this instance's group, this one included. */
+  countMembers(): number {
+    return this.ownSize;
+  }
+
   /** Selects the servers of a service that this instance's group uses. */
   selectServers<T extends { serverId: string }>(servers: readonly T[]): readonly T[] {
     if (!this.isDivided(servers.length)) return servers;
--- a/packages/policy/test/placement/instance-groups.test.ts
+++ b/packages/policy/test/placement/instance-groups.test.ts
@@ -32,6 +32,7 @@
     const byMembers = new Map<string, { members: number; servers: readonly string[] }>();
     for (const groups of makeGroups(instances)) {
       const members = groups.selectMembers(all).map(({ instanceId }) => instanceId);
+      expect(groups.countMembers()).toBe(members.length);
       if (byMembers.has(members.join())) continue;
       const serverIds = groups.selectServers(listed).map(({ serverId }) => serverId);
       byMembers.set(members.join(), { members: members.length, servers: serverIds });
--- a/packages/policy/test/server-pauses.test.ts
+++ b/packages/policy/test/server-pauses.test.ts
@@ -235,6 +235,23 @@
   expect(pauses.estimateRoom([SERVER, OTHER], nowMs)).toEqual(expected);
 });
 
+// Guards against refusals whose cost grows with the servers of a service, each of which makes the instances be counted anew.
+test('an estimate counts the instances only for servers that have asked for a pause', () => {
+  const counted: string[] = [];
+  const pauses = new ServerPauses({
+    random: () => 0,
+    countInstances: (serverKey) => {
+      counted.push(serverKey);
+      return 6;
+    },
+  });
+  pauses.recordPause(SERVER, 1_000, 0);
+  counted.length = 0;
+  const open = Array.from({ length: 90 }, (_, index) => `open-${index}@0`);
+  expect(pauses.estimateRoom([SERVER, ...open], 500)).toEqual({ roomInMs: 500, intervalMs: 150 });
+  expect(counted).toEqual([SERVER]);
+});
+
 // Guards against pauses of servers that are gone, which would fill the memory.
 test('removes the servers that are obsolete and keeps a bounded number', () => {
   const pauses = makePauses();
