Round the time that a refused caller is told up

Cause: the time was rounded to the nearest hundredth of a second, so that a caller could return up to 5 ms before the time for which the refusal was computed, such as the end of a pause. A trial told 1,990 ms when the pause ended in 1,991 ms.

Change: the time is rounded up.

--- a/packages/gateway/src/error-response.ts
+++ b/packages/gateway/src/error-response.ts
@@ -11,6 +11,7 @@
 }
 
 const MS_PER_SECOND = 1_000;
+const HUNDREDTHS = 100;
 
 /** Sends the response; 429 and 503 are sent only when the request has not run and never will. */
 export function sendErrorResponse(response: ServerResponse, error: ErrorResponse): void {
@@ -21,9 +22,14 @@
     'content-length': Buffer.byteLength(body),
   };
   if (error.retryAfterMs !== undefined) {
-    headers['retry-after'] = (error.retryAfterMs / MS_PER_SECOND).toFixed(2);
+    headers['retry-after'] = formatRetryAfter(error.retryAfterMs);
   }
   if (error.closesConnection) headers.connection = 'close';
   response.writeHead(error.status, headers);
   response.end(body);
 }
+
+/** Formats a time in seconds with two decimals, rounded up, so that no caller returns too early. */
+export function formatRetryAfter(durationMs: number): string {
+  return (Math.ceil((durationMs * HUNDREDTHS) / MS_PER_SECOND) / HUNDREDTHS).toFixed(2);
+}
