Tell a caller the end of a pause that its own request was told of

Cause: the time of a refusal was estimated from the servers that the request had not tried. When all servers of a service had turned this request away with a pause, none was left, and the caller was told the default of 150 ms (300 ms for a stream).

Change: the tried servers count as well if none of them is available, since the caller's next request meets the same pauses.

--- a/packages/gateway/src/request-dispatcher.ts
+++ b/packages/gateway/src/request-dispatcher.ts
@@ -143,14 +143,18 @@
 
   #rejectWithoutServer(nowMs: number): DispatchRejection {
     const { registry, availability, limitSharing, limitedAdmissions } = this.exchange.context;
-    const untried = registry
-      .listReady(this.serviceName)
-      .filter(({ serverId }) => !this.triedServerIds.has(serverId));
-    const available = untried.filter(
+    const ready = registry.listReady(this.serviceName);
+    const available = ready.filter(
       (server) => availability.judge(server, nowMs).kind === 'available',
     );
-    const limitRoom = limitSharing.estimateRoom(available, nowMs);
-    const otherRoom = availability.estimateRoom(untried, nowMs);
+    const isTried = ({ serverId }: BackendServer) => this.triedServerIds.has(serverId);
+    // A tried server counts as well if none of the tried ones is available to the caller's next request.
+    const candidates = available.some(isTried) ? ready.filter((server) => !isTried(server)) : ready;
+    const limitRoom = limitSharing.estimateRoom(
+      available.filter((server) => !isTried(server)),
+      nowMs,
+    );
+    const otherRoom = availability.estimateRoom(candidates, nowMs);
     const isLimited = (limitRoom?.roomInMs ?? Infinity) <= (otherRoom?.roomInMs ?? Infinity);
     const room = isLimited ? limitRoom : otherRoom;
     if (room === undefined) return { kind: 'no-server' };
--- a/packages/gateway/test/server-pauses.test.ts
+++ b/packages/gateway/test/server-pauses.test.ts
@@ -337,3 +337,27 @@
   expect(Math.max(...servers.records.map(countMostInPause))).toBeLessThanOrEqual(MAX_IN_PAUSE);
   expect(urgentMs).toBeLessThan(batchMs ?? 0);
 });
+
+// Guards against a caller whose request is turned away with a pause by the last server, and who is told to return in the pause.
+test.each([1, 2])(
+  'a caller whose request was turned away by all %i servers is told the end of the first pause',
+  async (count) => {
+    const store = new FakeStore();
+    await using servers = await startPausingServers({
+      ...{ store, count, service: 'desk', chooseRefusal: (index: number) => refuse(2 + index) },
+    });
+    await using fleet = await startGatewayFleet(store, 1, makePatientBundle());
+    const [gateway] = fleet.gateways;
+    if (gateway === undefined) throw new Error('no instance');
+    const response = await sendTo(gateway, '/orders/1', { 'Test-Remaining': '10000' });
+    const { pauses } = servers.records[0] ?? { pauses: [] };
+    const leftMs = (pauses[0]?.untilMs ?? 0) - performance.now();
+    const toldMs = getRetryAfterMs(response);
+    console.log(
+      `${count} servers: told ${toldMs} ms, the first pause ends in ${leftMs.toFixed(0)} ms`,
+    );
+    expect(servers.records.map(({ arrivals }) => arrivals.length)).toEqual(Array(count).fill(1));
+    expect(toldMs).toBeGreaterThanOrEqual(leftMs);
+    expect(toldMs).toBeLessThanOrEqual(leftMs + 500);
+  },
+);
