Keep one fact that cannot be read from keeping others back

Cause: a message of instances is checked as a whole. An instance of the version before rejects each message with a leaving server, and with it the limits and crashes in it; while a leaving server is listed, all repairs and replies hold one, so that it also hears nothing of the sender, which its watch takes as a sign that the sender is gone. In this version a server id of more than about 110 characters does the same. Many leaving servers also took all places of repairs and replies before the limits.

Change: leaving servers travel in messages of their own, a reply has at least one other message, and an instance leaves out the facts that are not valid instead of the message.

--- a/packages/gateway/src/fleet-gossip.ts
+++ b/packages/gateway/src/fleet-gossip.ts
@@ -142,12 +142,19 @@
       new Set(),
       this.options.clock(),
     );
-    if (facts.length > 0) this.#send({ wantsFacts: false, facts }, this.#pickPeers(FANOUT));
+    if (facts.length === 0) return;
+    const receivers = this.#pickPeers(FANOUT);
+    for (const part of splitLeavingFacts(facts)) {
+      if (part.length > 0) this.#send({ wantsFacts: false, facts: part }, receivers);
+    }
   }
 
   #sendRepair(): void {
-    const [facts] = splitFacts(this.options.listFacts());
-    if (facts !== undefined) this.#send({ wantsFacts: false, facts }, this.#pickPeers(1));
+    const receivers = this.#pickPeers(1);
+    for (const part of splitLeavingFacts(this.options.listFacts())) {
+      const [facts] = splitFacts(part);
+      if (facts !== undefined) this.#send({ wantsFacts: false, facts }, receivers);
+    }
   }
 
   #handleMessage(bytes: Buffer, sender: SenderAddress): void {
@@ -162,8 +169,10 @@
     if (!wantsFacts) this.questionsLeft = 0;
     for (const fact of facts) onFact(fact);
     if (!wantsFacts) return;
-    const replies = splitFacts(listFacts());
-    for (const reply of replies.length > 0 ? replies : [[]]) {
+    const [usual, separate] = splitLeavingFacts(listFacts());
+    // A reply without facts shows a sender of any version that this instance runs.
+    const replies = usual.length > 0 ? splitFacts(usual) : [[]];
+    for (const reply of [...replies, ...splitFacts(separate)]) {
       this.#send({ wantsFacts: false, facts: reply }, [sender]);
     }
   }
@@ -186,6 +195,17 @@
   return `${address}:${port}`;
 }
 
+/**
+ * Separates the facts that instances of older versions do not know, since these reject a message as a whole. It also keeps many
+ * facts of one kind from taking the place of the others.
+ */
+function splitLeavingFacts(facts: readonly GossipFact[]): [GossipFact[], GossipFact[]] {
+  return [
+    facts.filter(({ kind }) => kind !== 'leaving'),
+    facts.filter(({ kind }) => kind === 'leaving'),
+  ];
+}
+
 /** Splits the first facts into the contents of up to `MAX_REPLY_MESSAGES` messages. */
 function splitFacts(facts: readonly GossipFact[]): GossipFact[][] {
   const messages: GossipFact[][] = [];
--- a/packages/gateway/src/gossip-codec.ts
+++ b/packages/gateway/src/gossip-codec.ts
@@ -1,5 +1,5 @@
 import { decodeCbor, encodeCbor, isValidGossipMessage } from '@pollendrum/protocol';
-import type { GossipUpdate } from '@pollendrum/protocol';
+import type { GossipMessage, GossipUpdate } from '@pollendrum/protocol';
 import type { LimitFact, RequestTrait, TraitFact } from '@pollendrum/policy';
 
 /** A fact as it travels between instances. */
@@ -32,6 +32,9 @@
 export type DecodedGossip =
   { kind: 'message'; message: GossipMessageContent } | { kind: 'invalid'; reason: unknown };
 
+/** Updates of a message that the schema allows. */
+const MAX_UPDATES = 64;
+
 export function encodeGossip({ wantsFacts, facts }: GossipMessageContent): Buffer {
   return encodeCbor(['gossip', wantsFacts, facts.map(encodeFact)]);
 }
@@ -49,13 +52,25 @@
   } catch (error) {
     return { kind: 'invalid', reason: String(error) };
   }
-  if (!isValidGossipMessage(message)) {
-    return { kind: 'invalid', reason: isValidGossipMessage.errors };
-  }
-  const [, wantsFacts, updates] = message;
+  if (isValidGossipMessage(message)) return toDecodedGossip(message);
+  const reason = isValidGossipMessage.errors;
+  const readable = selectValidUpdates(message);
+  return isValidGossipMessage(readable) ? toDecodedGossip(readable) : { kind: 'invalid', reason };
+}
+
+function toDecodedGossip([, wantsFacts, updates]: GossipMessage): DecodedGossip {
   return { kind: 'message', message: { wantsFacts, facts: updates.map(decodeUpdate) } };
 }
 
+/** Leaves out facts that are not valid, such as those of a newer version, unless all are. */
+function selectValidUpdates(message: unknown): unknown {
+  if (!Array.isArray(message)) return message;
+  const [name, wantsFacts, updates] = message as unknown[];
+  if (!Array.isArray(updates) || updates.length > MAX_UPDATES) return message;
+  const valid = updates.filter((update) => isValidGossipMessage([name, wantsFacts, [update]]));
+  return valid.length === 0 ? message : [name, wantsFacts, valid];
+}
+
 export function toAgedFact(fact: TraitFact, nowMs: number): AgedTraitFact {
   const { atMs, ...rest } = fact;
   return { ...rest, ageMs: Math.max(0, nowMs - atMs) };
--- a/packages/gateway/test/leaving-gossip.test.ts
+++ b/packages/gateway/test/leaving-gossip.test.ts
@@ -1,6 +1,8 @@
 import { afterEach, expect, test, vi } from 'vitest';
 import type { BackendServer } from '../src';
 import { FleetGossip } from '../src/fleet-gossip';
+import { decodeGossip, encodeGossip } from '../src/gossip-codec';
+import type { GossipFact } from '../src/gossip-codec';
 import { ServerAvailability } from '../src/server-availability';
 import { createTestLog, makeServer } from './gateway-fixture';
 import { LossyNetwork, setVirtualTime } from './lossy-network';
@@ -144,3 +146,51 @@
   expect(fleet.members.some((member) => isLeaving(member, RESTARTED))).toBe(false);
   expect(fleet.members.every((member) => isLeaving(member, SERVER))).toBe(true);
 });
+
+const LIMIT = { kind: 'limit', serverKey: 'engine-2@1', version: 1, requestsPerSecond: 5 } as const;
+
+/** Starts an instance that knows facts, and returns the facts of each message that it sends by itself and in a reply. */
+async function collectMessages(facts: readonly GossipFact[]): Promise<GossipFact[][]> {
+  const sent: GossipFact[][] = [];
+  let handle: (bytes: Buffer, sender: { address: string; port: number }) => void = () => undefined;
+  await using gossip = new FleetGossip({
+    ...{ instanceId: 'entry-0', clock: () => performance.now(), log: createTestLog([]) },
+    socket: {
+      setHandler: (_, handler) => {
+        handle = handler;
+      },
+      send: (bytes) => {
+        const decoded = decodeGossip(bytes);
+        if (decoded.kind === 'message' && !decoded.message.wantsFacts)
+          sent.push([...decoded.message.facts]);
+      },
+    },
+    onFact: () => undefined,
+    listFacts: () => facts,
+  });
+  gossip.setPeers([{ instanceId: 'entry-1', address: '127.0.0.1', port: 1 }]);
+  for (const fact of facts) gossip.publish(JSON.stringify(fact), () => fact);
+  await vi.advanceTimersByTimeAsync(1_100);
+  handle(encodeGossip({ wantsFacts: true, facts: [] }), { address: '127.0.0.1', port: 1 });
+  return sent;
+}
+
+// Guards against instances of the version before, which reject a message with a fact that they do not know: they would learn no
+// limits and no crashes, and take the sender for gone.
+test('instances of an older version can read all messages without leaving servers', async () => {
+  setVirtualTime(1);
+  const leaving = Array.from({ length: 200 }, (_, index): GossipFact => ({
+    kind: 'leaving',
+    serverKey: `engine-${index}@1`,
+  }));
+  const messages = await collectMessages([...leaving, LIMIT]);
+  const isReadable = (facts: readonly GossipFact[]) =>
+    facts.every(({ kind }) => kind !== 'leaving');
+  const mixed = messages.filter(
+    (facts) => !isReadable(facts) && facts.some(({ kind }) => kind !== 'leaving'),
+  );
+  expect(mixed).toEqual([]);
+  expect(messages.flat().filter(({ kind }) => kind === 'limit').length).toBeGreaterThan(1);
+  const replies = await collectMessages(leaving);
+  expect(replies.filter((facts) => isReadable(facts)).length).toBeGreaterThan(0);
+});
--- a/packages/gateway/test/odd-datagrams.test.ts
+++ b/packages/gateway/test/odd-datagrams.test.ts
@@ -24,3 +24,20 @@
   const kinds = [decodeGossip(bytes), decodeLoadReport(bytes), decodeSendCounts(bytes)];
   expect(kinds.map(({ kind }) => kind)).toEqual(['invalid', 'invalid', 'invalid']);
 });
+
+// Guards against one odd fact, or one of a newer version, that keeps the other facts of its message from an instance.
+test.each([
+  { name: 'of an unknown kind', odd: ['moved', 'a@1'] },
+  { name: 'with too long an id', odd: ['leaving', 'a'.repeat(200)] },
+  { name: 'of no kind', odd: null },
+])('a fact $name does not keep the others back', ({ odd }) => {
+  const limit = ['limit', 'a@1', 1, 5];
+  const decoded = decodeGossip(encodeCbor(['gossip', true, [odd, limit]]));
+  expect(decoded).toEqual({
+    kind: 'message',
+    message: {
+      wantsFacts: true,
+      facts: [{ kind: 'limit', serverKey: 'a@1', version: 1, requestsPerSecond: 5 }],
+    },
+  });
+});
