Test the load of the last server while others leave or pause

While servers of a service leave or have asked for a pause, all its plain requests go to the others without a bound. For servers that name limits the chooser bounds what the others get to two requests for each slot, but it compares with the servers that are available, so that the bound does not apply here.

--- a/packages/gateway/test/server-chooser.test.ts
+++ b/packages/gateway/test/server-chooser.test.ts
@@ -9,6 +9,7 @@
 import type { PlacedRequest } from '@pollendrum/policy';
 import { expect, test } from 'vitest';
 import { HeaderCodec } from '../src/header-codec';
+import type { Availability } from '../src/server-availability';
 import { ServerChooser } from '../src/server-chooser';
 import { ServerRegistry } from '../src/server-registry';
 import { HEADER_NAMES, makeRoute, makeServer } from './gateway-fixture';
@@ -22,6 +23,7 @@
   instanceCount: number,
   serverCount: number,
   hasRoom: (serverId: string) => boolean = () => true,
+  judgeAvailability: (serverId: string) => Availability = () => ({ kind: 'available' }),
 ) {
   const registry = new ServerRegistry(() => undefined);
   const servers = makeIds('i', serverCount).map((serverId) => makeServer(serverId, SERVICE, 1));
@@ -34,7 +36,7 @@
     prefixes: new PrefixCacheTracker(),
     failures: new FailureTracker(),
     speeds: new SpeedTracker(),
-    availability: { judge: () => ({ kind: 'available' }) },
+    availability: { judge: ({ serverId }) => judgeAvailability(serverId) },
     limits: {
       judge: ({ serverId }) =>
         hasRoom(serverId) ? { kind: 'unlimited' } : { kind: 'no-room', roomInMs: 100 },
@@ -131,3 +133,26 @@
     expect(chooseServer(new Set())).toBe(chosen);
   },
 );
+
+const LAST_SERVER = 'i-0';
+/** Requests at once for which the last server has slots or a queue: two for each of its 16 slots. */
+const MOST_AT_LAST_SERVER = 32;
+
+// Guards against the load of a whole service on the one server that neither leaves nor has asked for a pause.
+test.each<Availability>([{ kind: 'leaving' }, { kind: 'paused', untilMs: 1e6 }])(
+  'the last server gets no more than it can queue while the others are $kind',
+  (judgement) => {
+    const { chooseServer, loads } = makeChooser(
+      1,
+      8,
+      () => true,
+      (serverId) => (serverId === LAST_SERVER ? { kind: 'available' } : judgement),
+    );
+    let count = 0;
+    while (count < 100 && chooseServer(new Set()) === LAST_SERVER) {
+      loads.add(makePlacedRequest(LAST_SERVER), 0);
+      count += 1;
+    }
+    expect(count).toBe(MOST_AT_LAST_SERVER);
+  },
+);
