Keep what a server has said when an entry lacks its start time

Cause: what is known of a server belongs to its id and start time. An entry without a start time, which another writer can leave, looked like another start, so that requests reached a server that had said that it leaves until its own next entry.

Change: an entry without a start time belongs to the start before it if address and heartbeats allow that.

--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -34,9 +34,10 @@
     this.graceEndsAtMs = nowMs + REMOVAL_GRACE_MS;
   }
 
-  put(server: BackendServer): void {
-    this.deferredRemovals.delete(server.serverId);
-    const previous = this.servers.get(server.serverId);
+  put(entry: BackendServer): void {
+    this.deferredRemovals.delete(entry.serverId);
+    const previous = this.servers.get(entry.serverId);
+    const server = addStartTime(entry, previous);
     this.servers.set(server.serverId, server);
     this.#recordChange();
     if (previous === undefined) {
@@ -107,7 +108,17 @@
 /** Whether an entry comes from another start of the server than the one before it. */
 function hasRestarted(previous: BackendServer, server: BackendServer): boolean {
   if (previous.startedAtUnixMs !== server.startedAtUnixMs) return true;
-  if (server.startedAtUnixMs !== undefined) return false;
+  return server.startedAtUnixMs === undefined && hasNewAddressOrCount(previous, server);
+}
+
+/** Adds the start time that the entry before it has, if nothing but the missing start time says that the server started again. */
+function addStartTime(entry: BackendServer, previous: BackendServer | undefined): BackendServer {
+  if (previous === undefined || entry.startedAtUnixMs !== undefined) return entry;
+  if (hasNewAddressOrCount(previous, entry)) return entry;
+  return { ...entry, startedAtUnixMs: previous.startedAtUnixMs };
+}
+
+function hasNewAddressOrCount(previous: BackendServer, server: BackendServer): boolean {
   if (previous.host !== server.host || previous.port !== server.port) return true;
   return (server.heartbeats ?? Infinity) < (previous.heartbeats ?? 0);
 }
