--- a/packages/gateway/src/server-availability.ts
+++ b/packages/gateway/src/server-availability.ts
@@ -56,6 +56,7 @@
   }
 
   judge(server: BackendServer, nowMs: number): Availability {
+    if (!this.leaving.hasServers() && !this.pauses.hasServers()) return { kind: 'available' };
     const serverKey = makeServerKey(server);
     if (this.leaving.has(serverKey)) return { kind: 'leaving' };
     const judgement = this.pauses.judge(serverKey, nowMs);
--- a/packages/policy/src/availability/leaving-servers.ts
+++ b/packages/policy/src/availability/leaving-servers.ts
@@ -20,6 +20,10 @@
     return true;
   }
 
+  hasServers(): boolean {
+    return this.markedAtMs.size > 0;
+  }
+
   has(serverKey: string): boolean {
     return this.markedAtMs.has(serverKey);
   }
--- a/packages/policy/src/availability/server-pauses.ts
+++ b/packages/policy/src/availability/server-pauses.ts
@@ -75,6 +75,10 @@
     this.#discardOldest();
   }
 
+  hasServers(): boolean {
+    return this.servers.size > 0;
+  }
+
   judge(serverKey: string, nowMs: number): PauseJudgement {
     const server = this.servers.get(serverKey);
     if (server === undefined) return { kind: 'open' };
