Log changes of readiness and each crash that an instance learns of

No line said when an instance becomes ready and how old its configuration and its servers are then, nor how many crashes of a request an instance knows and how many it counts.

Change: 'readiness changed' at the check of the load balancer, and 'crash recorded' with both numbers and whether an own attempt or another instance told it. One line for each change and for each crash and trait, so the volume is bounded. No decision changes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -80,6 +80,7 @@
 export class Gateway implements AsyncDisposable {
   private routeTable: RouteTable | undefined;
   private isDraining = false;
+  private wasReady = false;
   private readonly context: GatewayContext;
   private readonly fleetExchange: FleetExchange;
   private isAnnounced = false;
@@ -202,7 +203,7 @@
   async start(): Promise<void> {
     const { settings, log } = this.options;
     await this.#openPort(
-      createReadinessServer(this.options.settings, () => this.isReady()),
+      createReadinessServer(this.options.settings, () => this.#checkReadiness()),
       settings.readinessAddress,
     );
     await this.#openPort(this.callerServer.server, settings.callerAddress);
@@ -295,6 +296,22 @@
     void this.#announce();
   }
 
+  /** Judges the readiness for the load balancer and logs when it has changed since the check before. */
+  #checkReadiness(): boolean {
+    const isReady = this.isReady();
+    if (isReady === this.wasReady) return isReady;
+    this.wasReady = isReady;
+    const { clock, keyFreshness, registry, log } = this.context;
+    log.info('readiness changed', {
+      isReady,
+      isDraining: this.isDraining,
+      keyAgeMs: toWholeMs(keyFreshness.getAgeMs(clock())),
+      serverListAgeMs: toWholeMs(this.storeWatchers.getServerListAgeMs(clock())),
+      servers: registry.count(),
+    });
+    return isReady;
+  }
+
   async #announce(): Promise<void> {
     const { settings, store, log } = this.options;
     const spec = { address: settings.address, port: settings.peerPort, isWatchable: true };
@@ -394,6 +411,11 @@
   }
 }
 
+/** Rounds a duration for a log line; undefined when it is infinite. */
+function toWholeMs(durationMs: number): number | undefined {
+  return Number.isFinite(durationMs) ? Math.round(durationMs) : undefined;
+}
+
 function createReadinessServer(settings: GatewaySettings, isReady: () => boolean): Server {
   const path = settings.readinessPath ?? DEFAULT_READINESS_PATH;
   return createServer((request, response) => {
--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -50,6 +50,7 @@
   private consecutiveFailures = 0;
   private disconnectedAtMs: number | undefined;
   private nextWaitMs = 0;
+  private syncedAtMs = -Infinity;
   private runPromise: Promise<void> | undefined;
 
   constructor(private readonly options: KindWatcherOptions) {}
@@ -58,6 +59,11 @@
     this.runPromise ??= this.#run();
   }
 
+  /** Time since all changes that were available to a watch had been received, in milliseconds; infinite before that. */
+  getAgeMs(nowMs: number): number {
+    return nowMs - this.syncedAtMs;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.abortController.abort();
     await Promise.race([this.runPromise, sleep(0)]);
@@ -88,7 +94,7 @@
       revision: listing.revision,
     });
     this.options.onListing(listing);
-    this.options.onSync?.(startedAtMs);
+    this.#recordSync(startedAtMs);
   }
 
   async #watch(afterRevision: number): Promise<void> {
@@ -114,7 +120,12 @@
     this.nextWaitMs = isEmpty ? Infinity : WAIT_AFTER_CHANGES_MS;
     // A response can be delayed in transit. An empty response was written no earlier than the end of the wait;
     // a response with changes may have been written as early as the start of the call.
-    this.options.onSync?.(isEmpty ? Math.min(nowMs, startedAtMs + waitMs) : startedAtMs);
+    this.#recordSync(isEmpty ? Math.min(nowMs, startedAtMs + waitMs) : startedAtMs);
+  }
+
+  #recordSync(syncedAtMs: number): void {
+    this.syncedAtMs = Math.max(this.syncedAtMs, syncedAtMs);
+    this.options.onSync?.(syncedAtMs);
   }
 
   /** Applies a change. One that cannot be applied does not keep back the others, which no later watch would deliver. */
--- a/packages/gateway/src/request-quarantine.ts
+++ b/packages/gateway/src/request-quarantine.ts
@@ -30,6 +30,9 @@
   log: GatewayLog;
 }
 
+/** Where a fact was learnt: from the end of an attempt, or from another instance. */
+type FactSource = 'attempt' | 'instance';
+
 /** Crashes of a trait from which a request is not repeated at another server. */
 const MAX_CRASHES_FOR_REPEAT = 1;
 /** Time after which a probe without a result is followed by another one, in milliseconds. It may wait in a server's queue. */
@@ -62,7 +65,7 @@
     switch (fact.kind) {
       case 'crash':
       case 'sound':
-        this.#add(toTraitFact(fact, nowMs));
+        this.#add(toTraitFact(fact, nowMs), 'instance');
         return;
       case 'probe':
         this.#recordProbe(fact.trait, nowMs - fact.ageMs, 'normal');
@@ -119,7 +122,7 @@
   }
 
   recordCrash({ crashId, traits, atMs }: ObservedCrash): void {
-    for (const trait of traits) this.#add({ kind: 'crash', trait, crashId, atMs });
+    for (const trait of traits) this.#add({ kind: 'crash', trait, crashId, atMs }, 'attempt');
   }
 
   #judgeRepeat(traits: readonly RequestTrait[]): SendJudgement {
@@ -175,13 +178,22 @@
     return traits;
   }
 
-  #add(fact: TraitFact): void {
+  #add(fact: TraitFact, source: FactSource): void {
     const news = this.evidence.add(fact, this.options.clock());
-    for (const entry of news) this.#publish(entry);
+    for (const entry of news) {
+      this.#publish(entry);
+      if (entry.kind === 'crash') this.#reportCrash(entry, source);
+    }
     this.#reportChanges();
     if (news.length > 0 && this.reported.has(fact.trait)) this.options.onChange(fact.trait);
   }
 
+  #reportCrash({ trait, crashId }: CrashFact, source: FactSource): void {
+    const { count, timesMs } = this.evidence.listCrashes(trait);
+    const crashes = timesMs.length;
+    this.options.log.info('crash recorded', { trait, crashId, source, crashes, counted: count });
+  }
+
   #publish(fact: TraitFact): void {
     const key = fact.kind === 'crash' ? `${fact.trait} ${fact.crashId}` : `sound ${fact.trait}`;
     this.options.publish(key, (nowMs) =>
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -42,13 +42,15 @@
 
 /** Watches the configuration, the backend servers and the gateway instances in the store. */
 export class StoreWatchers implements AsyncDisposable {
+  private readonly serverWatcher: KindWatcher;
   private readonly watchers: readonly KindWatcher[];
   private readonly instances = new Map<string, PeerAddress>();
 
   constructor(private readonly options: StoreWatchersOptions) {
+    this.serverWatcher = this.#createServerWatcher();
     this.watchers = [
       this.#createBundleWatcher(),
-      this.#createServerWatcher(),
+      this.serverWatcher,
       this.#createInstanceWatcher(),
     ];
   }
@@ -61,6 +63,11 @@
     return this.instances.size;
   }
 
+  /** Time since the list of servers was known to be complete, in milliseconds; infinite before it is read. */
+  getServerListAgeMs(nowMs: number): number {
+    return this.serverWatcher.getAgeMs(nowMs);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     for (const watcher of this.watchers) await watcher[Symbol.asyncDispose]();
   }
