--- a/packages/gateway/test/gateway-fleet.ts
+++ b/packages/gateway/test/gateway-fleet.ts
@@ -11,11 +11,18 @@
 const ENTRY_EXPIRY_MS = 300;
 const RESTART_MS = 400;
 
+/** What a server does with a request; `crashAfterMs` is the time from its arrival until the server ends. */
+export type HandlerResult = 'answered' | 'crash' | { crashAfterMs: number };
+
 export interface EngineFleetOptions {
   store: FakeStore;
   count: number;
-  /** Answers a request; returns `crash` when the server is to end. */
-  handle(socket: Socket, request: string, serverId: string): 'answered' | 'crash';
+  /** `engines` by default. */
+  service?: string;
+  /** Time from the end of a server's entry until another server starts, in milliseconds. 400 by default. */
+  restartMs?: number;
+  /** Answers a request unless the server is to end. */
+  handle(socket: Socket, request: string, serverId: string): HandlerResult;
 }
 
 /** Engines that end when a request crashes them and start again with another id. */
@@ -27,6 +34,11 @@
 
   constructor(private readonly options: EngineFleetOptions) {}
 
+  /** Ids of the servers that run. */
+  listServers(): string[] {
+    return [...this.backends.keys()];
+  }
+
   async start(): Promise<void> {
     for (let index = 0; index < this.options.count; index += 1) await this.#startEngine();
   }
@@ -39,14 +51,19 @@
   async #startEngine(): Promise<void> {
     this.startCount += 1;
     const serverId = `engine-${this.startCount}`;
+    const { store, service = 'engines' } = this.options;
     const backend = await startRawBackend((socket, request) => {
-      if (this.options.handle(socket, request, serverId) === 'crash') void this.#crash(serverId);
+      const result = this.options.handle(socket, request, serverId);
+      if (result === 'answered') return;
+      if (result === 'crash') void this.crash(serverId);
+      else setTimeout(() => void this.crash(serverId), result.crashAfterMs);
     });
     this.backends.set(serverId, backend);
-    this.options.store.put('servers', serverId, makeServer(serverId, 'engines', backend.port));
+    store.put('servers', serverId, makeServer(serverId, service, backend.port));
   }
 
-  async #crash(serverId: string): Promise<void> {
+  /** Ends a server, unless it has ended, and starts another one later. */
+  async crash(serverId: string): Promise<void> {
     const backend = this.backends.get(serverId);
     if (backend === undefined) return;
     this.backends.delete(serverId);
@@ -54,7 +71,7 @@
     await backend.crash();
     await sleep(ENTRY_EXPIRY_MS);
     this.options.store.remove('servers', serverId);
-    await sleep(RESTART_MS);
+    await sleep(this.options.restartMs ?? RESTART_MS);
     if (!this.isClosed) await this.#startEngine();
   }
 }
