Count each crash of a repeated request, also within 100 ms

Callers saw: a lookup ended the three servers of its service, came again 5 s later and ended them again; all requests of the service were refused meanwhile.

Cause: crashes less than 100 ms apart count once, since servers that end together would otherwise put the blame on each part that all of them were running. A request that comes again is at few servers, and its crashes follow each other within milliseconds, by its own repetitions or at several instances. Ruled out: crashes that nobody notices (all three were recorded, 'crash recorded' with crashes 3, counted 1) and crashes that are not known everywhere (the late sends came 4.5 s later, from instances that knew all three).

Change: the crashes of a request count one by one, unless another server ends within 100 ms without having the request: then what ended them together is not the request. All instances remember which requests have been answered, not only while one is under suspicion, so that a popular sound request is cleared by the answer before the crash. Parts are counted as before.

--- a/packages/gateway/src/request-quarantine.ts
+++ b/packages/gateway/src/request-quarantine.ts
@@ -116,7 +116,8 @@
 
   /** Takes in that a server has begun to answer a request. */
   recordAnswer(request: TraitSource): void {
-    const facts = this.evidence.recordAnswer(this.#listTraits(request), this.options.clock());
+    const traits = [...request.listPartTraits(), request.getRepetitionTrait()];
+    const facts = this.evidence.recordAnswer(traits, this.options.clock());
     for (const fact of facts) this.#publish(fact);
     if (facts.length > 0) this.#reportChanges();
   }
--- a/packages/policy/src/quarantine/crash-evidence.ts
+++ b/packages/policy/src/quarantine/crash-evidence.ts
@@ -1,5 +1,5 @@
 import {
-  countSeparateCrashes,
+  countCrashes,
   hasAbsentSuspect,
   QUARANTINE_CRASHES,
   selectCulprits,
@@ -18,7 +18,7 @@
 
 /** Crashes of a trait since a server last began to answer a request with it. */
 export interface TraitCrashes {
-  /** Crashes that are far enough apart to have separate causes. */
+  /** Crashes that can be put down to the trait rather than to what ended several servers together. */
   count: number;
   /** Time of each crash, in ascending order. */
   timesMs: readonly number[];
@@ -35,6 +35,8 @@
 /** A trait without crashes that was cleared less than this before is not news, in milliseconds. */
 const SOUND_NEWS_INTERVAL_MS = 5_000;
 const MAX_TRAITS = 4_096;
+const MAX_ANSWERED_TRAITS = 16_384;
+const MAX_CRASHES = 4_096;
 
 interface TraitEvidence {
   crashes: Map<string, number>;
@@ -49,6 +51,8 @@
   private readonly traits = new Map<RequestTrait, TraitEvidence>();
   /** Time of the last answer that this instance has seen begin, in the order of these times. */
   private readonly answeredAtMs = new Map<RequestTrait, number>();
+  /** Time of each known crash of any trait, in the order in which they were learnt. */
+  private readonly crashedAtMs = new Map<string, number>();
   /** Undefined until it is selected anew. */
   private quarantined: ReadonlySet<RequestTrait> | undefined;
 
@@ -57,7 +61,7 @@
     return traits.flatMap((trait) => {
       this.answeredAtMs.delete(trait);
       this.answeredAtMs.set(trait, nowMs);
-      discardOldest(this.answeredAtMs);
+      discardOldest(this.answeredAtMs, MAX_ANSWERED_TRAITS);
       if (this.listCrashes(trait).count === 0) return [];
       return this.add({ kind: 'sound', trait, atMs: nowMs });
     });
@@ -66,6 +70,7 @@
   /** Takes in a fact; returns the facts that are news, which can include that the trait is known to be sound. */
   add(fact: TraitFact, nowMs = fact.atMs): TraitFact[] {
     this.#expire(nowMs);
+    if (fact.kind === 'crash') this.#recordCrash(fact);
     const { trait, atMs } = fact;
     const known = this.traits.get(trait) ?? {
       crashes: new Map<string, number>(),
@@ -102,8 +107,11 @@
 
   /** Lists the crashes of a trait that no later answer has cleared. */
   listCrashes(trait: RequestTrait): TraitCrashes {
-    const timesMs = [...(this.traits.get(trait)?.crashes.values() ?? [])].sort((a, b) => a - b);
-    return { count: countSeparateCrashes(timesMs), timesMs };
+    const crashes = this.traits.get(trait)?.crashes;
+    if (crashes === undefined || crashes.size === 0) return { count: 0, timesMs: [] };
+    const timesMs = [...crashes.values()].sort((a, b) => a - b);
+    const unrelatedCrashesMs = this.#listUnrelatedCrashes(crashes);
+    return { count: countCrashes({ trait, timesMs, unrelatedCrashesMs }), timesMs };
   }
 
   /** Lists the same crashes as facts, in the order of their times. */
@@ -177,13 +185,28 @@
       .map(([trait, { crashes }]) => ({
         ...{ trait, crashes },
         wasAnswered: this.hasBeenAnswered(trait),
+        unrelatedCrashesMs: this.#listUnrelatedCrashes(crashes),
       }));
   }
 
+  /** Records that a server ended; it may have ended together with those of any trait. */
+  #recordCrash({ crashId, atMs }: CrashFact): void {
+    if (this.crashedAtMs.has(crashId)) return;
+    this.crashedAtMs.set(crashId, atMs);
+    discardOldest(this.crashedAtMs, MAX_CRASHES);
+    this.quarantined = undefined;
+  }
+
+  #listUnrelatedCrashes(crashes: ReadonlyMap<string, number>): number[] {
+    return [...this.crashedAtMs]
+      .filter(([crashId]) => !crashes.has(crashId))
+      .map(([, atMs]) => atMs);
+  }
+
   #put(trait: RequestTrait, evidence: TraitEvidence): void {
     this.traits.delete(trait);
     this.traits.set(trait, evidence);
-    this.#resetSelection(discardOldest(this.traits));
+    this.#resetSelection(discardOldest(this.traits, MAX_TRAITS));
   }
 
   /** Selects the quarantined traits anew at the next use if a change of this trait can change them. */
@@ -195,6 +218,10 @@
 
   /** Discards old traits, which come first, since a trait moves to the end with each fact. */
   #expire(nowMs: number): void {
+    for (const [crashId, atMs] of this.crashedAtMs) {
+      if (nowMs - atMs < QUARANTINE_RETENTION_MS) break;
+      this.crashedAtMs.delete(crashId);
+    }
     for (const [trait, evidence] of this.traits) {
       const ageMs = nowMs - Math.max(evidence.soundAtMs, ...evidence.crashes.values());
       if (ageMs < RETENTION_MS) return;
@@ -206,8 +233,8 @@
 }
 
 /** Removes the first entry of a map that has too many; returns its value. */
-function discardOldest<V>(map: Map<RequestTrait, V>): V | undefined {
-  if (map.size <= MAX_TRAITS) return undefined;
+function discardOldest<K, V>(map: Map<K, V>, maxEntries: number): V | undefined {
+  if (map.size <= maxEntries) return undefined;
   const [oldest] = map;
   if (oldest === undefined) return undefined;
   map.delete(oldest[0]);
--- a/packages/policy/src/quarantine/culprit-selection.ts
+++ b/packages/policy/src/quarantine/culprit-selection.ts
@@ -7,6 +7,8 @@
   wasAnswered: boolean;
   /** Time by crash, in milliseconds. */
   crashes: ReadonlyMap<string, number>;
+  /** Times at which other servers ended, none of which had a request with the trait, in milliseconds. */
+  unrelatedCrashesMs: readonly number[];
 }
 
 /** Crashes after which requests with a trait are held back. */
@@ -16,8 +18,9 @@
 /** Separate times of these crashes; servers that end together are no evidence. */
 const MIN_UNANSWERED_TIMES = 2;
 /**
- * Crashes that are closer together than this count once, in milliseconds. Servers that end together, as in the loss of a
- * failure domain, would otherwise put the blame on whatever all of them were running.
+ * Crashes of a part that are closer together than this count once, in milliseconds. Servers that end together, as in the loss
+ * of a failure domain, would otherwise put the blame on whatever all of them were running. A request that comes again is at
+ * few servers, so that each of its crashes counts, unless another server ends within this time without having the request.
  */
 const MIN_CRASH_INTERVAL_MS = 100;
 
@@ -33,7 +36,8 @@
     const blamed = peers.filter((suspect) => {
       if (isUnansweredTooLong(suspect)) return true;
       const unexplained = [...suspect.crashes].filter(([crashId]) => !explained.has(crashId));
-      return countSeparateCrashes(unexplained.map(([, atMs]) => atMs)) >= QUARANTINE_CRASHES;
+      const timesMs = unexplained.map(([, atMs]) => atMs);
+      return countCrashes({ ...suspect, timesMs }) >= QUARANTINE_CRASHES;
     });
     for (const { trait, crashes } of blamed) {
       culprits.add(trait);
@@ -60,8 +64,22 @@
   );
 }
 
-/** Counts the crashes that are far enough apart to have separate causes. */
-export function countSeparateCrashes(timesMs: readonly number[]): number {
+/** Crashes of a trait, or some of them, and those of other servers. */
+export interface CountedCrashes extends Pick<Suspect, 'trait' | 'unrelatedCrashesMs'> {
+  timesMs: readonly number[];
+}
+
+/** Counts the crashes that can be put down to a trait rather than to what ended several servers together. */
+export function countCrashes({ trait, timesMs, unrelatedCrashesMs }: CountedCrashes): number {
+  if (trait.startsWith('part ')) return countSeparateCrashes(timesMs);
+  const simultaneous = timesMs.filter((atMs) =>
+    unrelatedCrashesMs.some((otherMs) => Math.abs(otherMs - atMs) < MIN_CRASH_INTERVAL_MS),
+  );
+  return timesMs.length - simultaneous.length + countSeparateCrashes(simultaneous);
+}
+
+/** Counts the crashes that are at least `MIN_CRASH_INTERVAL_MS` apart. */
+function countSeparateCrashes(timesMs: readonly number[]): number {
   let count = 0;
   let countedAtMs = -Infinity;
   for (const atMs of [...timesMs].sort((a, b) => a - b)) {
--- a/packages/policy/test/crash-evidence.test.ts
+++ b/packages/policy/test/crash-evidence.test.ts
@@ -26,7 +26,39 @@
   return { kind: 'answer', traits, atMs };
 }
 
+const REQUEST: RequestTrait = 'request aa';
+const OTHER_REQUEST: RequestTrait = 'request bb';
+
 const cases: EvidenceCase[] = [
+  {
+    name: 'a request that ends three servers within 100 ms is held back',
+    steps: [1_000, 1_032, 1_032].map((atMs) => makeCrash(atMs, REQUEST)),
+    quarantined: [REQUEST],
+  },
+  {
+    name: 'a request is not blamed for servers that end together with one that did not have it',
+    steps: [
+      ...[1_000, 1_010, 1_020].map((atMs) => makeCrash(atMs, REQUEST)),
+      makeCrash(1_090, OTHER_REQUEST),
+    ],
+    quarantined: [],
+  },
+  {
+    name: 'a request is blamed although another server ends at one of the three times',
+    steps: [
+      ...[1_000, 2_000, 3_000].map((atMs) => makeCrash(atMs, REQUEST)),
+      makeCrash(3_010, OTHER_REQUEST),
+    ],
+    quarantined: [REQUEST],
+  },
+  {
+    name: 'a request that was answered shortly before is not blamed',
+    steps: [
+      makeAnswer(900, REQUEST),
+      ...[1_000, 1_010, 1_020].map((atMs) => makeCrash(atMs, REQUEST)),
+    ],
+    quarantined: [],
+  },
   {
     name: 'the part that no server begins to answer remains of all parts of three crashes',
     steps: [
@@ -164,7 +196,7 @@
         return;
     }
   });
-  const traits: RequestTrait[] = [HEAD, TEAM, BAD, 'part dd'];
+  const traits: RequestTrait[] = [HEAD, TEAM, BAD, 'part dd', REQUEST, OTHER_REQUEST];
   expect(traits.filter((trait) => evidence.isQuarantined(trait))).toEqual(quarantined);
   expect(evidence.getQuarantined().size).toBe(quarantined.length);
 });
