--- a/packages/gateway/test/gateway-fixture.ts
+++ b/packages/gateway/test/gateway-fixture.ts
@@ -6,7 +6,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { GatewaySettings } from '@pollendrum/protocol';
 import { Gateway, TrafficMeter } from '../src';
-import type { GatewayLog, HeaderNames, BackendServer, Route, RouteBundle } from '../src';
+import type {
+  GatewayLog,
+  HeaderNames,
+  BackendServer,
+  ObjectStore,
+  Route,
+  RouteBundle,
+} from '../src';
 import { FakeStore } from './fake-store';
 import { startRawBackend } from './raw-backend';
 import type { RawHandler } from './raw-backend';
@@ -133,6 +140,8 @@
   drainLimitSeconds?: number;
   /** A store that several gateways share; a new one by default. */
   store?: FakeStore;
+  /** Makes what the gateway uses in place of the store; the store itself by default. */
+  wrapStore?: ((store: FakeStore) => ObjectStore) | undefined;
   instanceId?: string;
 }
 
@@ -166,7 +175,7 @@
   };
   const gateway = new Gateway({
     settings,
-    store,
+    store: options.wrapStore?.(store) ?? store,
     headerNames: HEADER_NAMES,
     decoders: {
       bundleKind: 'bundles',
--- a/packages/gateway/test/gateway-fleet.ts
+++ b/packages/gateway/test/gateway-fleet.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { RouteBundle } from '../src';
+import type { ObjectStore, RouteBundle } from '../src';
 import { FakeStore } from './fake-store';
 import { makeServer, startTestGateway, waitUntil } from './gateway-fixture';
 import type { TestGateway } from './gateway-fixture';
@@ -81,15 +81,21 @@
   gateways: readonly TestGateway[];
 }
 
-/** Starts gateways and waits until each of them is ready and knows all others. */
+/**
+ * Starts gateways and waits until each of them is ready and knows all others.
+ *
+ * @param wrapStore makes what a gateway uses in place of the store; the store itself by default
+ */
 export async function startGatewayFleet(
   store: FakeStore,
   count: number,
   bundle: RouteBundle,
+  wrapStore?: (store: FakeStore) => ObjectStore,
 ): Promise<GatewayFleet> {
   const gateways: TestGateway[] = [];
   for (let index = 0; index < count; index += 1) {
-    gateways.push(await startTestGateway({ store, bundle, instanceId: `entry-${index}` }));
+    const instanceId = `entry-${index}`;
+    gateways.push(await startTestGateway({ store, bundle, wrapStore, instanceId }));
   }
   await waitUntil(() => gateways.every(({ gateway }) => gateway.isReady()));
   await waitUntil(() => store.listNames('instances').length === count);
