Take no requests by a list of servers that was not read after an outage

Callers saw nothing: two chats were served by servers that had said 8.8 s earlier that they leave; such a server may end at any moment.

Cause: readiness and the check of a request ask how old the configuration is, but requests go to servers of another list. Each kind has calls, timeouts and retries of its own, so that after silence of the store the configuration is read up to 1.06 s before the servers. Where only the calls about servers are lost, nothing notices it at all. Ruled out: changes that are missing after the servers were read (none was late then) and entries that are undone.

Change: a watcher knows since when its objects are not in sync. If the store answers about the configuration and the servers have not been in sync for 1.5 s, the instance is not ready, and a request waits up to 150 ms for the list and gets 503 otherwise. While the store answers about nothing, requests go on as before. When a watcher loses or regains contact, the other one gives up a call that began before and asks at once, so that both are read within some milliseconds; after a failure a watch waits 20 ms instead of 300 ms.

An instance makes at most 15 calls in the 2 s after its return.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -17,8 +17,10 @@
 };
 /** Limit of Node's parser for a request head, in bytes; the configured limit is checked afterwards. */
 const PARSER_MAX_HEADER_BYTES = 65_536;
-/** Sent as `retry-after` by an instance without a current configuration, in milliseconds. */
+/** Sent as `retry-after` by an instance without a current configuration or list of servers, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 200;
+/** Longest wait of a request for the list of servers, in milliseconds; it is mostly read within a few. */
+const MAX_SERVER_LIST_WAIT_MS = 150;
 
 /** HTTP server for callers. */
 export interface CallerServer {
@@ -123,6 +125,16 @@
     });
     return;
   }
+  if (!context.isServerListUsable()) await context.waitForServerList(MAX_SERVER_LIST_WAIT_MS);
+  if (!context.isServerListUsable()) {
+    reject({
+      status: 503,
+      reason: 'the list of backend servers may be out of date',
+      retryAfterMs: NOT_READY_RETRY_AFTER_MS,
+      closesConnection: true,
+    });
+    return;
+  }
   context.metrics.openRequests.inc();
   const exchange = new Exchange(context, {
     request,
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -53,6 +53,10 @@
    * last part, which no other prompt shares.
    */
   reportPrompt(serverId: string, parts: readonly PromptPart[]): void;
+  /** Whether requests may go to the listed servers; they may not when their entries should have been read again. */
+  isServerListUsable(): boolean;
+  /** Resolves when the list of servers is usable, or after `timeoutMs` in milliseconds. */
+  waitForServerList(timeoutMs: number): Promise<void>;
   /** Whether the instance is draining, so that responses close the connection and callers reconnect elsewhere. */
   isDraining(): boolean;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -175,6 +175,8 @@
       reportPrompt: (serverId, parts) => {
         this.fleetExchange.addPrompt({ serverId, parts });
       },
+      isServerListUsable: () => this.storeWatchers.isServerListUsable(clock()),
+      waitForServerList: (timeoutMs) => this.storeWatchers.waitForServerList(timeoutMs),
       isDraining: () => this.isDraining,
     };
     this.trafficLog = new TrafficLog(traffic, log);
@@ -223,11 +225,11 @@
 
   /**
    * Whether the load balancer should send new connections to this instance: it has a configuration, knows at least
-   * one backend server, has up-to-date team keys and is not draining.
+   * one backend server, has up-to-date team keys and entries of servers and is not draining.
    */
   isReady(): boolean {
     if (this.isDraining || this.routeTable === undefined) return false;
-    if (this.context.registry.count() === 0) return false;
+    if (this.context.registry.count() === 0 || !this.context.isServerListUsable()) return false;
     return this.context.keyFreshness.isFresh(this.context.clock());
   }
 
--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -9,10 +9,15 @@
  */
 const DEFAULT_WAIT_MS = 2_200;
 /**
- * Wait of the watch call after a listing, a response with changes or a failure, in milliseconds. It is short because
+ * Wait of the watch call after a listing or a response with changes, in milliseconds. It is short because
  * only an empty response proves that the watcher was in sync until the end of the wait.
  */
 const WAIT_AFTER_CHANGES_MS = 300;
+/**
+ * Wait of the watch call after a failure, in milliseconds. It is short so that the store's answer soon shows that the watcher
+ * is in sync again.
+ */
+const WAIT_AFTER_FAILURE_MS = 20;
 /** A response that arrives later than this after the end of its wait was delayed by an outage, in milliseconds. */
 const LATE_RESPONSE_MS = 300;
 /**
@@ -38,19 +43,31 @@
   onSync?(syncedAtMs: number): void;
   /** Called when the store is reachable again after an outage. */
   onReconnect?(): void;
+  /** Called when a call has failed and when one has succeeded again. */
+  onContactChange?(change: ContactChange): void;
 }
 
+/** `lost`: a call has failed for the first time; `regained`: a call has succeeded after one that failed. */
+export type ContactChange = { kind: 'lost' } | { kind: 'regained'; startedAtMs: number };
+
 /**
  * Watches all objects of one kind: lists them, then receives changes, and lists them again when the store no longer
  * has the change history.
  */
 export class KindWatcher implements AsyncDisposable {
-  private readonly abortController = new AbortController();
   private revision: number | undefined;
   private consecutiveFailures = 0;
   private disconnectedAtMs: number | undefined;
   private nextWaitMs = 0;
   private syncedAtMs = -Infinity;
+  private answeredAtMs = -Infinity;
+  private callStartedAtMs = -Infinity;
+  /** Time from which the objects are not known to be complete; undefined while they are. */
+  private unsyncedSinceMs: number | undefined;
+  /** Ends the present call, or the pause after one that failed. */
+  private interruption = new AbortController();
+  private isRefreshing = false;
+  private isDisposed = false;
   private runPromise: Promise<void> | undefined;
 
   constructor(private readonly options: KindWatcherOptions) {}
@@ -59,32 +76,59 @@
     this.runPromise ??= this.#run();
   }
 
+  /**
+   * Reads the changes at once, since another call has shown whether the store answers. A call or pause that has begun
+   * before is given up; a later one goes on.
+   */
+  refresh(sinceMs: number): void {
+    if (this.callStartedAtMs >= sinceMs) return;
+    this.isRefreshing = true;
+    this.unsyncedSinceMs ??= this.callStartedAtMs;
+    this.nextWaitMs = WAIT_AFTER_FAILURE_MS;
+    this.interruption.abort();
+  }
+
+  /** Time from which the objects are not known to be complete; undefined while they are. */
+  getUnsyncedSinceMs(): number | undefined {
+    return this.unsyncedSinceMs;
+  }
+
+  /** Time of the last answer of the store. */
+  getAnsweredAtMs(): number {
+    return this.answeredAtMs;
+  }
+
   /** Time since all changes that were available to a watch had been received, in milliseconds; infinite before that. */
   getAgeMs(nowMs: number): number {
     return nowMs - this.syncedAtMs;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.abortController.abort();
+    this.isDisposed = true;
+    this.interruption.abort();
     await Promise.race([this.runPromise, sleep(0)]);
   }
 
   async #run(): Promise<void> {
-    while (!this.abortController.signal.aborted) {
+    while (!this.isDisposed) {
+      this.interruption = new AbortController();
+      const { signal } = this.interruption;
+      this.callStartedAtMs = this.options.clock();
       try {
-        await (this.revision === undefined ? this.#list() : this.#watch(this.revision));
+        await (this.revision === undefined
+          ? this.#list(signal)
+          : this.#watch(this.revision, signal));
       } catch (error) {
-        if (this.abortController.signal.aborted) return;
-        await this.#handleFailure(error);
+        if (!signal.aborted) await this.#handleFailure(error, signal);
       }
     }
   }
 
-  async #list(): Promise<void> {
-    const { store, kind, clock, log } = this.options;
-    const startedAtMs = clock();
-    const listing = await store.listObjects(kind);
-    if (this.abortController.signal.aborted) return;
+  async #list(signal: AbortSignal): Promise<void> {
+    const { store, kind, log } = this.options;
+    const startedAtMs = this.callStartedAtMs;
+    const listing = await store.listObjects(kind, signal);
+    if (signal.aborted) return;
     this.#markConnected();
     this.revision = listing.revision;
     this.nextWaitMs = WAIT_AFTER_CHANGES_MS;
@@ -97,12 +141,12 @@
     this.#recordSync(startedAtMs);
   }
 
-  async #watch(afterRevision: number): Promise<void> {
+  async #watch(afterRevision: number, signal: AbortSignal): Promise<void> {
     const { store, kind, clock, log } = this.options;
     const waitMs = Math.min(this.nextWaitMs, this.options.waitMs ?? DEFAULT_WAIT_MS);
-    const startedAtMs = clock();
-    const result = await store.watchObjects(kind, afterRevision, waitMs);
-    if (this.abortController.signal.aborted) return;
+    const startedAtMs = this.callStartedAtMs;
+    const result = await store.watchObjects(kind, afterRevision, waitMs, signal);
+    if (signal.aborted) return;
     const nowMs = clock();
     if (nowMs - startedAtMs > waitMs + LATE_RESPONSE_MS) this.options.onReconnect?.();
     this.#markConnected();
@@ -112,6 +156,7 @@
         revision: afterRevision,
       });
       this.revision = undefined;
+      this.unsyncedSinceMs ??= startedAtMs;
       return;
     }
     this.revision = Math.max(afterRevision, result.revision);
@@ -125,6 +170,7 @@
 
   #recordSync(syncedAtMs: number): void {
     this.syncedAtMs = Math.max(this.syncedAtMs, syncedAtMs);
+    this.unsyncedSinceMs = undefined;
     this.options.onSync?.(syncedAtMs);
   }
 
@@ -140,28 +186,33 @@
   }
 
   #markConnected(): void {
-    if (this.disconnectedAtMs !== undefined) {
-      this.options.log.info('store regained', {
-        kind: this.options.kind,
-        lostForMs: Math.round(this.options.clock() - this.disconnectedAtMs),
-      });
-      this.options.onReconnect?.();
-    }
+    const { log, kind, clock, onReconnect, onContactChange } = this.options;
+    const disconnectedAtMs = this.disconnectedAtMs;
+    const wasRefreshing = this.isRefreshing;
     this.disconnectedAtMs = undefined;
     this.consecutiveFailures = 0;
+    this.isRefreshing = false;
+    this.answeredAtMs = clock();
+    if (disconnectedAtMs === undefined) return;
+    log.info('store regained', { kind, lostForMs: Math.round(clock() - disconnectedAtMs) });
+    onReconnect?.();
+    // A watcher that was told by another one does not tell it back.
+    if (!wasRefreshing) onContactChange?.({ kind: 'regained', startedAtMs: this.callStartedAtMs });
   }
 
-  async #handleFailure(error: unknown): Promise<void> {
-    const { log, kind, clock } = this.options;
-    if (this.disconnectedAtMs === undefined) {
+  async #handleFailure(error: unknown, signal: AbortSignal): Promise<void> {
+    const { log, kind, clock, onContactChange } = this.options;
+    const isFirst = this.disconnectedAtMs === undefined;
+    const backoffMs = Math.min(MIN_BACKOFF_MS * 2 ** this.consecutiveFailures, MAX_BACKOFF_MS);
+    this.consecutiveFailures += 1;
+    this.nextWaitMs = WAIT_AFTER_FAILURE_MS;
+    this.isRefreshing = false;
+    if (isFirst) {
       this.disconnectedAtMs = clock();
+      this.unsyncedSinceMs ??= this.disconnectedAtMs;
       log.warn('store lost', { kind, error: String(error), revision: this.revision });
+      onContactChange?.({ kind: 'lost' });
     }
-    const backoffMs = Math.min(MIN_BACKOFF_MS * 2 ** this.consecutiveFailures, MAX_BACKOFF_MS);
-    this.consecutiveFailures += 1;
-    this.nextWaitMs = WAIT_AFTER_CHANGES_MS;
-    await sleep(backoffMs, undefined, { signal: this.abortController.signal }).catch(
-      () => undefined,
-    );
+    await sleep(backoffMs, undefined, { signal }).catch(() => undefined);
   }
 }
--- a/packages/gateway/src/object-store.ts
+++ b/packages/gateway/src/object-store.ts
@@ -21,9 +21,18 @@
 
 /** Object store of the platform. Calls reject when no response arrives or the store returns an error. */
 export interface ObjectStore extends AsyncDisposable {
-  listObjects(kind: string): Promise<ObjectListing>;
-  /** Resolves with the changes after a revision; waits at most `waitMs` for the first one. */
-  watchObjects(kind: string, afterRevision: number, waitMs: number): Promise<WatchResult>;
+  /** Lists all objects of a kind; rejects when the signal aborts the call. */
+  listObjects(kind: string, signal?: AbortSignal): Promise<ObjectListing>;
+  /**
+   * Resolves with the changes after a revision; waits at most `waitMs` for the first one. Rejects when the signal aborts the
+   * call.
+   */
+  watchObjects(
+    kind: string,
+    afterRevision: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<WatchResult>;
   /** Creates or replaces an object. */
   putObject(kind: string, name: string, spec: unknown): Promise<void>;
   /** Removes an object. Resolves as well when it does not exist. */
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -1,9 +1,11 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { formatFinding } from '@pollendrum/protocol';
 import type { ParseResult } from '@pollendrum/protocol';
 import type { BackendServer, RouteBundle } from './bundle';
 import { KEY_WATCH_WAIT_MS } from './key-freshness';
 import type { KeyFreshness } from './key-freshness';
 import { KindWatcher } from './kind-watcher';
+import type { ContactChange } from './kind-watcher';
 import { isUsableAddress } from './peer-socket';
 import type { PeerAddress } from './peer-socket';
 import type { Clock, GatewayLog } from './log-and-clock';
@@ -40,19 +42,25 @@
  */
 const INSTANCE_WATCH_WAIT_MS = 15_000;
 
+/**
+ * Age from which a list of servers that is not in sync is too old, in milliseconds. Requests must not reach a server later than
+ * 2 s after its entry has said that it leaves.
+ */
+const MAX_UNSYNCED_AGE_MS = 1_500;
+
 /** Watches the configuration, the backend servers and the gateway instances in the store. */
 export class StoreWatchers implements AsyncDisposable {
+  private readonly bundleWatcher: KindWatcher;
   private readonly serverWatcher: KindWatcher;
   private readonly watchers: readonly KindWatcher[];
   private readonly instances = new Map<string, PeerAddress>();
+  /** Called when the list of servers has been read again. */
+  private readonly listWaiters = new Set<() => void>();
 
   constructor(private readonly options: StoreWatchersOptions) {
+    this.bundleWatcher = this.#createBundleWatcher();
     this.serverWatcher = this.#createServerWatcher();
-    this.watchers = [
-      this.#createBundleWatcher(),
-      this.serverWatcher,
-      this.#createInstanceWatcher(),
-    ];
+    this.watchers = [this.bundleWatcher, this.serverWatcher, this.#createInstanceWatcher()];
   }
 
   start(): void {
@@ -68,6 +76,28 @@
     return this.serverWatcher.getAgeMs(nowMs);
   }
 
+  /**
+   * Whether requests may go to the listed servers. They may not if the servers have not been read for `MAX_UNSYNCED_AGE_MS`
+   * although the store answers about the configuration. While it answers about nothing, requests go on.
+   */
+  isServerListUsable(nowMs: number): boolean {
+    const unsyncedSinceMs = this.serverWatcher.getUnsyncedSinceMs();
+    if (unsyncedSinceMs === undefined) return true;
+    if (this.serverWatcher.getAgeMs(nowMs) <= MAX_UNSYNCED_AGE_MS) return true;
+    const hasContact = this.bundleWatcher.getUnsyncedSinceMs() === undefined;
+    return !hasContact || this.bundleWatcher.getAnsweredAtMs() <= unsyncedSinceMs;
+  }
+
+  /** Resolves when the list of servers is usable, or after `timeoutMs`. */
+  async waitForServerList(timeoutMs: number): Promise<void> {
+    if (this.isServerListUsable(this.options.clock())) return;
+    let settle: () => void = () => undefined;
+    const synced = new Promise<void>((resolve) => (settle = resolve));
+    this.listWaiters.add(settle);
+    await Promise.race([synced, sleep(timeoutMs)]);
+    this.listWaiters.delete(settle);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     for (const watcher of this.watchers) await watcher[Symbol.asyncDispose]();
   }
@@ -85,6 +115,9 @@
       onSync: (syncedAtMs) => {
         keyFreshness.recordSync(syncedAtMs);
       },
+      onContactChange: (change) => {
+        refreshOther(this.serverWatcher, change, clock());
+      },
     });
   }
 
@@ -105,6 +138,12 @@
       onReconnect: () => {
         registry.startRemovalGrace(clock());
       },
+      onSync: () => {
+        for (const settle of this.listWaiters) settle();
+      },
+      onContactChange: (change) => {
+        refreshOther(this.bundleWatcher, change, clock());
+      },
     });
   }
 
@@ -171,3 +210,18 @@
     });
   }
 }
+
+/**
+ * Lets a watcher find out at once whether the store answers it when another one has lost or regained contact, since its own call
+ * may be lost as well.
+ */
+function refreshOther(other: KindWatcher, change: ContactChange, nowMs: number): void {
+  switch (change.kind) {
+    case 'lost':
+      other.refresh(nowMs);
+      return;
+    case 'regained':
+      other.refresh(change.startedAtMs);
+      return;
+  }
+}
--- a/packages/gateway/test/returning-instances.test.ts
+++ b/packages/gateway/test/returning-instances.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, test } from 'vitest';
 import { FakeStore } from './fake-store';
 import { startGatewayFleet } from './gateway-fleet';
@@ -116,3 +117,30 @@
   },
   TIMEOUT_MS,
 );
+
+const SETTLE_MS = 2_000;
+const MAX_CALLS_AFTER_RETURN = 15;
+
+// Guards against watchers that make each other read again and again once one of them has regained contact, and against an instance
+// that is not ready although it has read everything.
+test.each<{ contact: Contact; kinds: readonly string[] | undefined }>([
+  { contact: 'silent', kinds: undefined },
+  { contact: 'fails', kinds: undefined },
+  { contact: 'silent', kinds: ['servers'] },
+  { contact: 'silent', kinds: ['bundles'] },
+])('an instance reads few times after an outage: $contact, $kinds', async ({ contact, kinds }) => {
+  const store = new FakeStore();
+  const partialStore = new PartialStore(store);
+  await using backends = new LeavingServers(store, 'desk');
+  await backends.startServers(1);
+  await using fleet = await startGatewayFleet(store, 1, makeLeavingBundle(), () => partialStore);
+  partialStore.setContact(contact, kinds);
+  await sleep(5_000);
+  const callsBefore = store.watchedKinds.length + store.listCalls;
+  partialStore.setContact('answers');
+  await sleep(SETTLE_MS);
+  const calls = store.watchedKinds.length + store.listCalls - callsBefore;
+  expect(fleet.gateways.map(({ gateway }) => gateway.isReady())).toEqual([true]);
+  expect(calls).toBeGreaterThan(0);
+  expect(calls).toBeLessThanOrEqual(MAX_CALLS_AFTER_RETURN);
+});
