Go on with the planned stop of an instance when a second signal comes

Callers of an instance that got a second SIGTERM or SIGINT were cut with no answer, also those of orders that a server was running.

Cause: the second call of drain() returned at once, and the process exits when any call has returned. Change: all calls resolve together, when the instance has drained.

Result: 'an order in flight at a second signal' of planned-stop.test.ts got no answer 633 ms after its start before, and its 200 now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -81,6 +81,7 @@
   private routeTable: RouteTable | undefined;
   private isDraining = false;
   private wasReady = false;
+  private drainPromise: Promise<void> | undefined;
   private readonly context: GatewayContext;
   private readonly fleetExchange: FleetExchange;
   private isAnnounced = false;
@@ -250,10 +251,14 @@
 
   /**
    * Drains the instance: fails the readiness check, accepts connections until the load balancer has reacted, then
-   * waits for open requests to end. Returns shortly before SIGKILL at the latest.
+   * waits for open requests to end. Resolves shortly before SIGKILL at the latest, for each call at the same time.
    */
-  async drain(): Promise<void> {
-    if (this.isDraining) return;
+  drain(): Promise<void> {
+    this.drainPromise ??= this.#drainOnce();
+    return this.drainPromise;
+  }
+
+  async #drainOnce(): Promise<void> {
     this.isDraining = true;
     const { settings, log, store } = this.options;
     const startedAtMs = this.context.clock();
