Refuse requests that are complete only after the load balancer has reacted

Callers saw: a request whose body came late in the grace of a planned stop was passed on and cut at the end of the grace with no answer, so that the caller of an order does not know whether it has run.

Cause: an instance that drains takes whatever becomes complete until its process ends. Change: from 3 s after the signal, when the load balancer has taken the instance out, a request gets 503 with Retry-After: it has not run, and its caller goes to another instance.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -17,7 +17,7 @@
 };
 /** Limit of Node's parser for a request head, in bytes; the configured limit is checked afterwards. */
 const PARSER_MAX_HEADER_BYTES = 65_536;
-/** Sent as `retry-after` by an instance without a current configuration or list of servers, in milliseconds. */
+/** Sent as `retry-after` by an instance that stops or has no current configuration or list of servers, in ms. */
 const NOT_READY_RETRY_AFTER_MS = 200;
 /** Longest wait of a request for the list of servers, in milliseconds; it is mostly read within a few. */
 const MAX_SERVER_LIST_WAIT_MS = 150;
@@ -90,6 +90,10 @@
     reject({ status: 431, reason: 'the headers are too large', closesConnection: true });
     return;
   }
+  if (!context.isAccepting()) {
+    reject({ status: 503, reason: 'the instance stops', retryAfterMs: NOT_READY_RETRY_AFTER_MS });
+    return;
+  }
   const table = context.getRouteTable();
   if (table === undefined) {
     reject({ status: 503, reason: 'no configuration yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS });
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -59,6 +59,8 @@
   waitForServerList(timeoutMs: number): Promise<void>;
   /** Whether the instance is draining, so that responses close the connection and callers reconnect elsewhere. */
   isDraining(): boolean;
+  /** Whether new requests are taken; a draining instance takes them until the load balancer has reacted. */
+  isAccepting(): boolean;
 }
 
 /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -80,6 +80,7 @@
 export class Gateway implements AsyncDisposable {
   private routeTable: RouteTable | undefined;
   private isDraining = false;
+  private isAccepting = true;
   private wasReady = false;
   private drainPromise: Promise<void> | undefined;
   private readonly context: GatewayContext;
@@ -179,6 +180,7 @@
       isServerListUsable: () => this.storeWatchers.isServerListUsable(clock()),
       waitForServerList: (timeoutMs) => this.storeWatchers.waitForServerList(timeoutMs),
       isDraining: () => this.isDraining,
+      isAccepting: () => this.isAccepting,
     };
     this.trafficLog = new TrafficLog(traffic, log);
     this.callerServer = createCallerServer(this.context);
@@ -268,6 +270,7 @@
     });
     const limitMs = Math.max(0, settings.drainLimitSeconds * MS_PER_SECOND - EXIT_MARGIN_MS);
     await sleep(Math.min(LOAD_BALANCER_LAG_MS, limitMs));
+    this.isAccepting = false;
     this.callerServer.server.close();
     while (this.callerServer.countOpenRequests() > 0) {
       if (this.context.clock() - startedAtMs >= limitMs) break;
