Wait for a silent stream that no other server may get

Cause: an attempt of a resumable stream is cancelled as silent without asking whether another one may be sent; a plain request asks. Change: the attempt goes on while no repetition is possible, and is asked again after the same time.

--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -30,10 +30,12 @@
   /** Events that the caller has received from this and earlier attempts. */
   sequence: EventSequence;
   /**
-   * Time without further data of the event stream after which the attempt is cancelled, in milliseconds. Until the
-   * stream's first data, the time of `computeOverdueAfterMs` applies. Undefined disables both timeouts.
+   * Time without further data of the event stream after which the attempt is cancelled if the stream can go on at another
+   * server, in milliseconds. Until the stream's first data, the time of `computeOverdueAfterMs` applies. Undefined disables both timeouts.
    */
   inactivityTimeoutMs: number | undefined;
+  /** Whether the stream would go on at another server if this attempt were cancelled now. */
+  canRepeat(): boolean;
   /** Forwards complete events; returning false stops reading the response until `resume` is called. */
   onEvents(events: EventBatch, head: ResponseHead): boolean;
 }
@@ -154,7 +156,12 @@
     clearTimeout(this.inactivityTimer);
     if (this.options.inactivityTimeoutMs === undefined) return;
     this.inactivityTimer = setTimeout(() => {
-      const { exchange, dispatch } = this.options;
+      const { exchange, dispatch, canRepeat } = this.options;
+      // The server may still answer, and nothing else can.
+      if (!canRepeat()) {
+        this.#startInactivityTimer(delayMs);
+        return;
+      }
       exchange.context.backendPool.discardIdle(dispatch.choice.server.serverId);
       this.#failAttempt('silent');
     }, delayMs);
--- a/packages/gateway/src/stream-request-handler.ts
+++ b/packages/gateway/src/stream-request-handler.ts
@@ -105,6 +105,7 @@
       lastEventId: this.lastEventId,
       sequence: this.sequence,
       inactivityTimeoutMs: this.inactivityTimeoutMs,
+      canRepeat: () => this.#hasFurtherAttempt(1) && this.dispatcher.isRepetitionPossible(),
       onEvents: (events, head) => {
         this.exchange.recordEvent(dispatch.choice.server.serverId);
         return this.#sendEvents(events, head);
@@ -155,9 +156,15 @@
     }
   }
 
-  #hasFurtherAttempt(): boolean {
+  /**
+   * Whether the route and the events that were sent allow another attempt.
+   *
+   * @param openRuns attempts that have not ended; 0 by default
+   */
+  #hasFurtherAttempt(openRuns = 0): boolean {
     const { maxAttempts } = this.exchange.input.route;
-    return this.isResumable && this.runCount < maxAttempts && this.sequence.isResumable();
+    const hasRun = this.runCount + openRuns < maxAttempts;
+    return this.isResumable && hasRun && this.sequence.isResumable();
   }
 
   #handleRejection(rejection: DispatchRejection): void {
