--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -31,7 +31,8 @@
   sequence: EventSequence;
   /**
    * Time without further data of the event stream after which the attempt is cancelled if the stream can go on at another
-   * server, in milliseconds. Until the stream's first data, the time of `computeOverdueAfterMs` applies. Undefined disables both timeouts.
+   * server, in milliseconds. Until the stream's first data, the time of `computeOverdueAfterMs` applies. Undefined disables
+   * both timeouts.
    */
   inactivityTimeoutMs: number | undefined;
   /** Whether the stream would go on at another server if this attempt were cancelled now. */
