Count load polls independently of stalls of the test's process

Traced: it counted the polls 1,900 ms after the start by the wall clock, of which 150 ms are spare. With the process stalled for 250 ms at 1.6 s it failed in 3 of 3 runs with 2 polls instead of 3.

The test is as strict as before: three polls within 1,900 ms, less the time for which the process ran no timers, none of them while another one is open, and the third not before two timeouts of 800 ms. It passes in 3 of 3 runs with the stall, and fails with polls that do not wait for each other (3 open) and with a timeout of 1,000 ms (2,078 ms).

--- a/packages/router/test/dispatcher/load-poll.test.ts
+++ b/packages/router/test/dispatcher/load-poll.test.ts
@@ -89,16 +89,40 @@
   test('run one at a time for a server and time out after 800 ms', async () => {
     let open = 0;
     let highest = 0;
-    let started = 0;
+    const startsMs: number[] = [];
     const port = await startBackend((response) => {
-      started += 1;
+      startsMs.push(performance.now());
       open += 1;
       highest = Math.max(highest, open);
       response.on('close', () => (open -= 1));
     });
+    const createdAtMs = performance.now();
+    using stalls = measureStalls();
     await using fixture = new DispatcherFixture([buildServer('s1', 4, port)], 'd', 50);
-    await wait(1_900);
+    await expect.poll(() => startsMs.length, { timeout: 10_000, interval: 10 }).toBe(3);
     expect(fixture.task.listShards()).toEqual(['model:m/0']);
-    expect([highest, started]).toEqual([1, 3]);
+    expect(highest).toBe(1);
+    // Three polls take 1,900 ms of the time in which the process is not stalled, and at least twice the timeout.
+    const elapsedMs = (startsMs.at(-1) ?? Infinity) - createdAtMs;
+    expect(elapsedMs - stalls.getTotalMs()).toBeLessThanOrEqual(1_900);
+    expect(elapsedMs).toBeGreaterThanOrEqual(1_600);
   });
 });
+
+/** Measures for how long in all the process has not run its timers. */
+function measureStalls(): Disposable & { getTotalMs(): number } {
+  const intervalMs = 10;
+  let totalMs = 0;
+  let lastAtMs = performance.now();
+  const timer = setInterval(() => {
+    const nowMs = performance.now();
+    totalMs += Math.max(0, nowMs - lastAtMs - 2 * intervalMs);
+    lastAtMs = nowMs;
+  }, intervalMs);
+  return {
+    getTotalMs: () => totalMs,
+    [Symbol.dispose]: () => {
+      clearInterval(timer);
+    },
+  };
+}
