--- a/packages/gateway/test/crashing-plain-requests.test.ts
+++ b/packages/gateway/test/crashing-plain-requests.test.ts
@@ -59,8 +59,9 @@
   },
 ];
 
-// Guards against a request that ends servers within less than 100 ms of each other, by its repetitions or at several instances, and
-// that is sent on when it comes again since its crashes count as one; and against other requests that are held back with it.
+// Guards against a request that ends servers within less than 100 ms of each other, by its repetitions or at several
+// instances, and that is sent on when it comes again since its crashes count as one; and against other requests that are held
+// back with it.
 test.each(cases)(
   '$name: a plain request that ends three servers at once is held back',
   async ({ instances, request, burstMs, usesOneInstance, crashDelayMs }) => {
--- a/packages/gateway/test/returning-instances.test.ts
+++ b/packages/gateway/test/returning-instances.test.ts
@@ -48,9 +48,9 @@
   contactCases.map((contactCase) => ({ instances, ...contactCase })),
 );
 
-// Guards against an instance that sends requests to servers whose entries say that they leave, since its calls to the store are lost
-// and it asks nobody else, since it has read the configuration after the outage but not the servers, or since only its calls about
-// servers are lost.
+// Guards against an instance that sends requests to servers whose entries say that they leave, since its calls to the store
+// are lost and it asks nobody else, since it has read the configuration after the outage but not the servers, or since only
+// its calls about servers are lost.
 test.each(cases)(
   '$instances instances, $name: an instance that lost contact does not use servers that drain',
   async ({ instances, contact, kinds, cutMs }) => {
@@ -118,8 +118,8 @@
 const SETTLE_MS = 2_000;
 const MAX_CALLS_AFTER_RETURN = 15;
 
-// Guards against watchers that make each other read again and again once one of them has regained contact, and against an instance
-// that is not ready although it has read everything.
+// Guards against watchers that make each other read again and again once one of them has regained contact, and against an
+// instance that is not ready although it has read everything.
 test.each<{ contact: Contact; kinds: readonly string[] | undefined }>([
   { contact: 'silent', kinds: undefined },
   { contact: 'fails', kinds: undefined },
--- a/packages/gateway/test/silent-streams.test.ts
+++ b/packages/gateway/test/silent-streams.test.ts
@@ -37,8 +37,8 @@
   },
 ];
 
-// Guards against a stream that is ended as silent although no other server may get it: its caller, who would have waited, gets 502
-// or a broken stream in place of the events that its server sends later.
+// Guards against a stream that is ended as silent although no other server may get it: its caller, who would have waited,
+// gets 502 or a broken stream in place of the events that its server sends later.
 test.each(cases)(
   'a silent stream that cannot be repeated is waited for: $name',
   async ({ silenceMs, servers, maxAttempts, hasRetryBudget }) => {
