Judge crashes of thousands of servers without comparing each with all others

Change: a crash asks whether any other server ended at its time, for requests only, and stops at the first one. The judgement is the same. Doc comments of KindWatcher name their units.

--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -47,7 +47,10 @@
   onContactChange?(change: ContactChange): void;
 }
 
-/** `lost`: a call has failed for the first time; `regained`: a call has succeeded after one that failed. */
+/**
+ * `lost`: a call has failed for the first time; `regained`: a call has succeeded after one that failed. `startedAtMs` is when
+ * that call began, in milliseconds of the monotonic clock.
+ */
 export type ContactChange = { kind: 'lost' } | { kind: 'regained'; startedAtMs: number };
 
 /**
@@ -77,8 +80,10 @@
   }
 
   /**
-   * Reads the changes at once, since another call has shown whether the store answers. A call or pause that has begun
-   * before is given up; a later one goes on.
+   * Reads the changes at once, since another watcher has lost or regained contact.
+   *
+   * @param sinceMs a call that began before this time of the monotonic clock is given up, since it may be lost; a later one
+   * goes on
    */
   refresh(sinceMs: number): void {
     if (this.callStartedAtMs >= sinceMs) return;
@@ -88,12 +93,12 @@
     this.interruption.abort();
   }
 
-  /** Time from which the objects are not known to be complete; undefined while they are. */
+  /** Time from which the objects are not known to be complete, in ms of the monotonic clock; undefined while they are. */
   getUnsyncedSinceMs(): number | undefined {
     return this.unsyncedSinceMs;
   }
 
-  /** Time of the last answer of the store. */
+  /** Time of the last answer of the store, in milliseconds of the monotonic clock; -Infinity before the first one. */
   getAnsweredAtMs(): number {
     return this.answeredAtMs;
   }
--- a/packages/policy/src/quarantine/crash-evidence.ts
+++ b/packages/policy/src/quarantine/crash-evidence.ts
@@ -1,6 +1,7 @@
 import {
   countCrashes,
   hasAbsentSuspect,
+  MIN_CRASH_INTERVAL_MS,
   QUARANTINE_CRASHES,
   selectCulprits,
 } from './culprit-selection';
@@ -110,8 +111,8 @@
     const crashes = this.traits.get(trait)?.crashes;
     if (crashes === undefined || crashes.size === 0) return { count: 0, timesMs: [] };
     const timesMs = [...crashes.values()].sort((a, b) => a - b);
-    const unrelatedCrashesMs = this.#listUnrelatedCrashes(crashes);
-    return { count: countCrashes({ trait, timesMs, unrelatedCrashesMs }), timesMs };
+    const hasUnrelatedCrash = (atMs: number) => this.#hasUnrelatedCrash(crashes, atMs);
+    return { count: countCrashes({ trait, timesMs, hasUnrelatedCrash }), timesMs };
   }
 
   /** Lists the same crashes as facts, in the order of their times. */
@@ -185,7 +186,7 @@
       .map(([trait, { crashes }]) => ({
         ...{ trait, crashes },
         wasAnswered: this.hasBeenAnswered(trait),
-        unrelatedCrashesMs: this.#listUnrelatedCrashes(crashes),
+        hasUnrelatedCrash: (atMs) => this.#hasUnrelatedCrash(crashes, atMs),
       }));
   }
 
@@ -197,10 +198,13 @@
     this.quarantined = undefined;
   }
 
-  #listUnrelatedCrashes(crashes: ReadonlyMap<string, number>): number[] {
-    return [...this.crashedAtMs]
-      .filter(([crashId]) => !crashes.has(crashId))
-      .map(([, atMs]) => atMs);
+  /** Stops at the first one, since thousands of servers can end together. */
+  #hasUnrelatedCrash(crashes: ReadonlyMap<string, number>, atMs: number): boolean {
+    for (const [crashId, otherAtMs] of this.crashedAtMs) {
+      const isClose = Math.abs(otherAtMs - atMs) < MIN_CRASH_INTERVAL_MS;
+      if (isClose && !crashes.has(crashId)) return true;
+    }
+    return false;
   }
 
   #put(trait: RequestTrait, evidence: TraitEvidence): void {
--- a/packages/policy/src/quarantine/culprit-selection.ts
+++ b/packages/policy/src/quarantine/culprit-selection.ts
@@ -7,8 +7,8 @@
   wasAnswered: boolean;
   /** Time by crash, in milliseconds. */
   crashes: ReadonlyMap<string, number>;
-  /** Times at which other servers ended, none of which had a request with the trait, in milliseconds. */
-  unrelatedCrashesMs: readonly number[];
+  /** Whether a server without a request with the trait ended less than `MIN_CRASH_INTERVAL_MS` from a time. */
+  hasUnrelatedCrash(atMs: number): boolean;
 }
 
 /** Crashes after which requests with a trait are held back. */
@@ -22,7 +22,7 @@
  * of a failure domain, would otherwise put the blame on whatever all of them were running. A request that comes again is at
  * few servers, so that each of its crashes counts, unless another server ends within this time without having the request.
  */
-const MIN_CRASH_INTERVAL_MS = 100;
+export const MIN_CRASH_INTERVAL_MS = 100;
 
 /**
  * Selects the traits that crash servers. The parts that a bad one is sent with have crashes too, so that a trait is blamed only
@@ -65,16 +65,14 @@
 }
 
 /** Crashes of a trait, or some of them, and those of other servers. */
-export interface CountedCrashes extends Pick<Suspect, 'trait' | 'unrelatedCrashesMs'> {
+export interface CountedCrashes extends Pick<Suspect, 'trait' | 'hasUnrelatedCrash'> {
   timesMs: readonly number[];
 }
 
 /** Counts the crashes that can be put down to a trait rather than to what ended several servers together. */
-export function countCrashes({ trait, timesMs, unrelatedCrashesMs }: CountedCrashes): number {
+export function countCrashes({ trait, timesMs, hasUnrelatedCrash }: CountedCrashes): number {
   if (trait.startsWith('part ')) return countSeparateCrashes(timesMs);
-  const simultaneous = timesMs.filter((atMs) =>
-    unrelatedCrashesMs.some((otherMs) => Math.abs(otherMs - atMs) < MIN_CRASH_INTERVAL_MS),
-  );
+  const simultaneous = timesMs.filter((atMs) => hasUnrelatedCrash(atMs));
   return timesMs.length - simultaneous.length + countSeparateCrashes(simultaneous);
 }
 
