--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -5,7 +5,7 @@
 import { createSocket } from 'node:dgram';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer, request as sendHttp } from 'node:http';
-import { createServer as createTcpServer } from 'node:net';
+import { connect, createServer as createTcpServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join, resolve } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -87,6 +87,89 @@
   });
 }
 
+/** Times at which a lost SYN is sent again, in milliseconds after the first one. */
+const SYN_RETRY_MS = [1_000, 3_000, 7_000];
+
+/**
+ * The path between a machine and another party. While it is cut, nothing passes in either direction and nobody is told.
+ * Afterwards what both ends still hold passes, and a channel that was opened meanwhile comes up when its SYN is sent again.
+ */
+export class Path {
+  isCut = false;
+  #channels = new Set();
+
+  constructor(targetAddress) {
+    const [host, port] = targetAddress.split(':');
+    this.target = { host, port: Number(port) };
+  }
+
+  async start() {
+    this.server = createTcpServer({ pauseOnConnect: true }, (near) => this.#open(near));
+    await new Promise((done) => this.server.listen(0, LOOPBACK, done));
+    this.address = `${LOOPBACK}:${this.server.address().port}`;
+  }
+
+  cut() {
+    this.isCut = true;
+    for (const { near, far } of this.#channels) {
+      near.pause();
+      far?.pause();
+    }
+  }
+
+  heal() {
+    this.isCut = false;
+    for (const channel of this.#channels) this.#resume(channel);
+  }
+
+  stop() {
+    this.server.close();
+    for (const { near, far } of this.#channels) {
+      near.destroy();
+      far?.destroy();
+    }
+  }
+
+  #open(near) {
+    const channel = { near, far: undefined, openedAtMs: getTimeMs(), wasOpenedInCut: this.isCut };
+    this.#channels.add(channel);
+    near.on('error', () => undefined);
+    near.on('close', () => {
+      this.#channels.delete(channel);
+      // The far end learns of it only over a sound path.
+      if (!this.isCut) channel.far?.destroy();
+    });
+    if (!this.isCut) this.#resume(channel);
+  }
+
+  #resume(channel) {
+    if (channel.far !== undefined) {
+      channel.near.resume();
+      channel.far.resume();
+      return;
+    }
+    const ageMs = getTimeMs() - channel.openedAtMs;
+    const retryMs = channel.wasOpenedInCut ? SYN_RETRY_MS.find((ms) => ms >= ageMs) : ageMs;
+    setTimeout(() => this.#connect(channel), (retryMs ?? ageMs) - ageMs);
+  }
+
+  #connect(channel) {
+    const { near } = channel;
+    if (this.isCut || near.destroyed || channel.far !== undefined) return;
+    const far = connect(this.target);
+    channel.far = far;
+    far.on('error', () => undefined);
+    far.on('close', () => {
+      if (!this.isCut) near.destroy();
+    });
+    near.on('data', (chunk) => far.write(chunk));
+    far.on('data', (chunk) => near.write(chunk));
+    near.on('end', () => far.end());
+    far.on('end', () => near.end());
+    near.resume();
+  }
+}
+
 /** The platform's store: objects by kind and name, conditional writes, lists and watches. */
 export class Store {
   #revision = 10;
