--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -186,7 +186,7 @@
   }
 
   /** Writes an object as an operator or a server does; the return is the acknowledgement. */
-  put(kind, name, spec) {
+  put(kind, name, spec, unreadableSpec) {
     const known = this.#objects.get(kind)?.get(name);
     if (known !== undefined && JSON.stringify(known.Spec) === JSON.stringify(spec)) return known;
     this.#revision += 1;
@@ -200,6 +200,7 @@
       },
       Spec: spec,
       Status: null,
+      unreadableSpec,
     };
     if (!this.#objects.has(kind)) this.#objects.set(kind, new Map());
     this.#objects.get(kind).set(name, object);
@@ -207,6 +208,11 @@
     return object;
   }
 
+  /** Stores an entry of another writer whose bytes can't be read; `text` stands where other entries have their `Spec`. */
+  putUnreadable(kind, name, text) {
+    this.put(kind, name, {}, text);
+  }
+
   /** Removes an object; false if there is none. */
   remove(kind, name) {
     const object = this.#objects.get(kind)?.get(name);
@@ -308,7 +314,14 @@
 
   #reply(response, status, body) {
     response.writeHead(status, { 'Content-Type': 'application/json' });
-    response.end(JSON.stringify(body));
+    const unreadable = [];
+    const text = JSON.stringify(body, (key, value) => {
+      if (value?.unreadableSpec === undefined) return value;
+      const { unreadableSpec, ...rest } = value;
+      unreadable.push(unreadableSpec);
+      return { ...rest, Spec: `unreadable ${unreadable.length - 1}` };
+    });
+    response.end(text.replace(/"unreadable (\d+)"/g, (_, index) => unreadable[Number(index)]));
   }
 }
 
@@ -320,8 +333,8 @@
   runs = [];
   sockets = new Set();
 
-  constructor({ id, service, recorder, respond }) {
-    Object.assign(this, { id, service, recorder, respond });
+  constructor({ id, service, recorder, respond, port }) {
+    Object.assign(this, { id, service, recorder, respond, port });
     this.bornMs = Date.now();
   }
 
@@ -333,7 +346,7 @@
       this.sockets.add(socket);
       socket.on('close', () => this.sockets.delete(socket));
     });
-    await new Promise((done) => this.server.listen(0, LOOPBACK, done));
+    await new Promise((done) => this.server.listen(this.port ?? 0, LOOPBACK, done));
     this.port = this.server.address().port;
   }
 
