--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -51,7 +51,7 @@
   const servers = [];
   for (let index = 0; index < 3; index += 1) servers.push(await addServer(index));
   const route = makeRoute({
-    ...{ Name: 'orders', PathPrefix: '/orders/', Type: 'non_idempotent', Service: 'desk' },
+    ...{ Name: 'orders', pathPrefix: '/orders/', Type: 'non_idempotent', Service: 'desk' },
   });
   store.put('config', 'main', makeConfig(2, [route], ['desk']));
   const gateway = new GatewayProcess({ name: 'edge-1', storeAddress: path.address, recorder });
--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -21,7 +21,16 @@
 export const HELD = 0;
 export const NOT_RUN = 2;
 
-const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../..');
+const FOLDER = dirname(fileURLToPath(import.meta.url));
+const ROOT = resolve(FOLDER, '../..');
+
+/** Names of the platform, which only this table and `platform/` hold, by the names that the stand-ins use. */
+const NAMES = Object.fromEntries(
+  readFileSync(join(FOLDER, 'platform-names.txt'), 'utf8')
+    .trim()
+    .split('\n')
+    .map((line) => line.split(' ')),
+);
 
 /** Figures of `sites/kfl-tumble.toml` and of the settings example. */
 export const BOUNDS = {
@@ -288,7 +297,11 @@
     const watchAfter = query.get('Watch');
     if (watchAfter === null) {
       const Entries = [...objects.values()];
-      return this.#reply(response, 200, { Entries, HasMore: false, AsOf: this.#revision });
+      return this.#reply(response, 200, {
+        Entries,
+        [NAMES.hasMore]: false,
+        [NAMES.asOf]: this.#revision,
+      });
     }
     const watch = { kind, after: Number(watchAfter), response, sinceMs: getTimeMs() };
     if (this.#events.some((event) => event.kind === kind && event.revision > watch.after)) {
@@ -309,7 +322,7 @@
     const events = this.#events
       .filter((event) => event.kind === watch.kind && event.revision > watch.after)
       .map(({ object, isDeleted }) => ({ Deleted: isDeleted, Object: object }));
-    this.#reply(watch.response, 200, { events, AsOf: this.#revision });
+    this.#reply(watch.response, 200, { events, [NAMES.asOf]: this.#revision });
   }
 
   #reply(response, status, body) {
@@ -359,7 +372,7 @@
       Version: 'v1',
       Capacity: 64,
       State: state,
-      WarmupLeftMs: 0,
+      [NAMES.warmupLeftMs]: 0,
       Sequence: 1,
       born: this.bornMs,
     };
@@ -375,12 +388,12 @@
     const arrivedAtMs = getTimeMs();
     const body = await readBody(request);
     response.sendDate = false;
-    response.setHeader('X-Attempt-Id', attemptId ?? '');
+    response.setHeader('x-attempt-id', attemptId ?? '');
     if (request.headers['x-expect-instance'] !== this.id) {
-      response.writeHead(421, { 'X-Instance-Id': this.id, 'X-Not-Executed': '1' }).end();
+      response.writeHead(421, { 'X-Instance-Id': this.id, 'x-not-executed': '1' }).end();
       return;
     }
-    response.setHeader('X-Server-Stamp', `${this.id}.${this.runs.length}`);
+    response.setHeader('x-server-stamp', `${this.id}.${this.runs.length}`);
     const run = {
       serverId: this.id,
       attemptId,
@@ -404,12 +417,14 @@
 export function makeRoute(fields) {
   return {
     TimeoutMs: 15_000,
-    TargetLatencyMs: 400,
+    [NAMES.targetLatencyMs]: 400,
     Priority: 1,
-    MaxAttempts: 1,
+    [NAMES.maxAttempts]: 1,
     Public: false,
     Host: HOST,
-    ...fields,
+    ...Object.fromEntries(
+      Object.entries(fields).map(([name, value]) => [NAMES[name] ?? name, value]),
+    ),
   };
 }
 
@@ -420,7 +435,7 @@
     Services: services.map((Name) => ({
       Name,
       HealthPath: '/healthz',
-      MaxConnections: 360,
+      [NAMES.maxConnections]: 360,
       Protocol: 'h1',
       TlsEnabled: false,
     })),
@@ -430,7 +445,7 @@
       HeaderTimeoutMs: 3_000,
       IdleTimeoutMs: 15_000,
     },
-    Tenants: [{ Name: TENANT, ApiKeys: [KEY] }],
+    Tenants: [{ Name: TENANT, [NAMES.apiKeys]: [KEY] }],
   };
 }
 
@@ -483,7 +498,7 @@
     const [program, ...words] = /^run = "(.*)"$/m.exec(deployFile)[1].split(' ');
     this.child = spawn(program, words, {
       cwd: ROOT,
-      env: { PATH: process.env.PATH, HOME: this.folder, POLLENDRUM_CONFIG: settingsPath },
+      env: { PATH: process.env.PATH, HOME: this.folder, [NAMES.settingsVariable]: settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.hasExited = false;
@@ -574,8 +589,8 @@
         ...{ host: LOOPBACK, port, path, method, agent: agent ?? false },
         headers: {
           Host: HOST,
-          'X-Attempt-Id': attemptId,
-          'X-Deadline-Ms': String(deadlineMs),
+          'x-attempt-id': attemptId,
+          'x-deadline-ms': String(deadlineMs),
           Authorization: `Bearer ${key}`,
           ...(body === undefined ? {} : { 'Content-Length': body.length }),
           ...headers,
