Give the review's stand-ins ports that no outgoing connection takes

The stand-ins took ports from the system's range for outgoing connections, so a server or gateway that starts again at its port could find it taken; Node then ended a case with 1, as for a broken rule. Ports come from below that range now, and an error that nothing awaits ends a case with 2.

--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -1,7 +1,7 @@
 // Stand-ins for the platform's store, backend servers and the platform itself, and a launcher for the gateway.
 // All of them listen on the loopback interface.
 import { spawn } from 'node:child_process';
-import { createHash } from 'node:crypto';
+import { createHash, randomInt } from 'node:crypto';
 import { createSocket } from 'node:dgram';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer, request as sendHttp } from 'node:http';
@@ -71,20 +71,46 @@
   }
 }
 
+// Below the range from which Linux takes the ports of outgoing connections, so that none of these has the port when a
+// server or a gateway starts there, or starts there again.
+const FIRST_PORT = 15_000;
+const END_PORT = 32_000;
+const takenPorts = new Set();
+
+/** Finds a port that is free for TCP and UDP, and that this process has not handed out before. */
 async function findFreePort() {
-  const server = createTcpServer();
-  await new Promise((done) => server.listen(0, LOOPBACK, done));
-  const { port } = server.address();
-  await new Promise((done) => server.close(done));
-  return port;
+  for (;;) {
+    const port = randomInt(FIRST_PORT, END_PORT);
+    if (takenPorts.has(port) || !(await isFreeTcpPort(port)) || !(await isFreeUdpPort(port))) {
+      continue;
+    }
+    takenPorts.add(port);
+    return port;
+  }
 }
 
-async function findFreeUdpPort() {
-  const socket = createSocket('udp4');
-  await new Promise((done) => socket.bind(0, LOOPBACK, done));
-  const { port } = socket.address();
-  await new Promise((done) => socket.close(done));
-  return port;
+function isFreeTcpPort(port) {
+  return new Promise((done) => {
+    const server = createTcpServer();
+    server.once('error', () => done(false));
+    server.listen(port, LOOPBACK, () => server.close(() => done(true)));
+  });
+}
+
+function isFreeUdpPort(port) {
+  return new Promise((done) => {
+    const socket = createSocket('udp4');
+    socket.once('error', () => socket.close(() => done(false)));
+    socket.bind(port, LOOPBACK, () => socket.close(() => done(true)));
+  });
+}
+
+/** Listens at a port; rejects if that fails. */
+async function listen(server, port) {
+  await new Promise((done, fail) => {
+    server.once('error', fail);
+    server.listen(port, LOOPBACK, done);
+  });
 }
 
 function readBody(message) {
@@ -114,8 +140,9 @@
 
   async start() {
     this.server = createTcpServer({ pauseOnConnect: true }, (near) => this.#open(near));
-    await new Promise((done) => this.server.listen(0, LOOPBACK, done));
-    this.address = `${LOOPBACK}:${this.server.address().port}`;
+    const port = await findFreePort();
+    await listen(this.server, port);
+    this.address = `${LOOPBACK}:${port}`;
   }
 
   cut() {
@@ -190,8 +217,9 @@
     this.server = createServer((request, response) => {
       this.#handle(request, response).catch((error) => response.destroy(error));
     });
-    await new Promise((done) => this.server.listen(0, LOOPBACK, done));
-    this.address = `${LOOPBACK}:${this.server.address().port}`;
+    const port = await findFreePort();
+    await listen(this.server, port);
+    this.address = `${LOOPBACK}:${port}`;
   }
 
   /** Writes an object as an operator or a server does; the return is the acknowledgement. */
@@ -359,8 +387,8 @@
       this.sockets.add(socket);
       socket.on('close', () => this.sockets.delete(socket));
     });
-    await new Promise((done) => this.server.listen(this.port ?? 0, LOOPBACK, done));
-    this.port = this.server.address().port;
+    this.port ??= await findFreePort();
+    await listen(this.server, this.port);
   }
 
   /** The entry that the server writes to the store. */
@@ -477,7 +505,7 @@
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
     this.callerPort ??= await findFreePort();
     this.readinessPort ??= await findFreePort();
-    this.peerPort ??= await findFreeUdpPort();
+    this.peerPort ??= await findFreePort();
     this.metricsPort ??= await findFreePort();
     const fields = {
       NodeName: this.name,
@@ -634,8 +662,16 @@
   const recorder = new Recorder(caseUrl);
   const cleanups = [];
   let code = NOT_RUN;
+  // An error that nothing awaits ends the case as one that could not run; Node would exit with 1, as for a broken rule.
+  const stray = new Promise((_, fail) => {
+    process.on('uncaughtException', fail);
+    process.on('unhandledRejection', fail);
+  });
   try {
-    const findings = await run(recorder, (cleanup) => cleanups.push(cleanup));
+    const findings = await Promise.race([
+      run(recorder, (cleanup) => cleanups.push(cleanup)),
+      stray,
+    ]);
     for (const finding of findings) recorder.add(`BROKEN    ${finding}`);
     if (findings.length === 0) recorder.add('the rule held');
     code = findings.length > 0 ? BROKEN : HELD;
