End calls to the platform at their timeout while a connection is being opened

What callers saw: after an outage an instance refuses requests for seconds longer than the outage lasts.

Cause: undici heeds the signal of a request only once it has a connection, and gives up opening one after 10 s. Packets that open a connection are sent again after 1, 3 and 7 s, so that a call that begins in an outage waits that long.

Change: a call rejects when its signal aborts, whatever its connection does, and the next call opens another one. A connection that is not open after 2 s is given up.

--- a/packages/platform/src/client/http-client.ts
+++ b/packages/platform/src/client/http-client.ts
@@ -28,6 +28,8 @@
 }
 
 const MAX_CONNECTIONS = 32;
+/** Time after which a connection that is not open is given up, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 2_000;
 
 /** HTTP client with a connection pool that is replaced after a timeout. */
 export class HttpClient implements AsyncDisposable {
@@ -61,7 +63,8 @@
     }, request.timeoutMs);
     request.signal?.addEventListener('abort', cancelRequest, { once: true });
     try {
-      const { status, etag, text } = await fetchText(pool, request, abortController.signal);
+      const { signal } = abortController;
+      const { status, etag, text } = await endOnAbort(fetchText(pool, request, signal), signal);
       return { status, etag, text, elapsedMs: performance.now() - startedAt };
     } catch (error) {
       if (isTimedOut) this.#replacePool(pool);
@@ -79,7 +82,7 @@
   }
 
   #createPool(): Pool {
-    const connect = buildConnector({});
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     return new Pool(this.url, {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
@@ -116,3 +119,20 @@
     text: await response.body.text(),
   };
 }
+
+/** Rejects when the signal aborts, since undici heeds it only once a connection is open. */
+async function endOnAbort<T>(promise: Promise<T>, signal: AbortSignal): Promise<T> {
+  let abort: () => void = () => undefined;
+  const aborted = new Promise<never>((_, reject) => {
+    abort = () => {
+      reject(new Error('aborted'));
+    };
+    signal.addEventListener('abort', abort, { once: true });
+  });
+  try {
+    return await Promise.race([promise, aborted]);
+  } finally {
+    signal.removeEventListener('abort', abort);
+    promise.catch(() => undefined);
+  }
+}
