Count the grace of removals from the last call to the store that failed

Cause: entries of sound servers lapse in an outage of the store, so the removal of a ready server is deferred. The 2.3 s counted from the first answer, which comes over a second after the end of an outage.

Change: the grace counts from the beginning of the last failed call of either watcher, a time at which the outage certainly lasted, and is 2.85 s. So it ends before 3 s after the outage, when targets must be met again. To keep it above the 2 s in which lapsed entries come back, a call that has timed out is followed by the next one after 100 ms, not 400 ms, since the backoff counts from its start; deferred removals are checked every 50 ms.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,7 +64,7 @@
  */
 const RETRY_SLACK_SHARE = 0.6;
 /** Interval at which deferred removals of servers are checked, in milliseconds. */
-const DEFERRED_REMOVAL_CHECK_MS = 200;
+const DEFERRED_REMOVAL_CHECK_MS = 50;
 /**
  * Time after SIGTERM for which the load balancer still sends new connections, in milliseconds; it stops after two
  * failed readiness checks.
--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -20,12 +20,15 @@
 const WAIT_AFTER_FAILURE_MS = 20;
 /** A response that arrives later than this after the end of its wait was delayed by an outage, in milliseconds. */
 const LATE_RESPONSE_MS = 300;
+/** Time after the end of an outage at which a response that it has held back arrives at the latest, in milliseconds. */
+const MAX_DELIVERY_DELAY_MS = 700;
+/** Shortest pause after a failed call, in milliseconds. */
+const MIN_BACKOFF_MS = 100;
 /**
- * Bounds of the backoff after a failed call, in milliseconds. The upper bound is low so that team keys do not go
- * out of date between retries.
+ * Longest time from the start of a failed call to the next one that the backoff adds to, in milliseconds. It is low so that
+ * team keys do not go out of date between retries, and so that the end of an outage is known closely.
  */
-const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 400;
+const MAX_RETRY_INTERVAL_MS = 400;
 
 export interface KindWatcherOptions {
   store: ObjectStore;
@@ -41,8 +44,11 @@
   onChange(change: ObjectChange): void;
   /** Called when all changes that were available to a watch at this time of the monotonic clock have been received. */
   onSync?(syncedAtMs: number): void;
-  /** Called when the store is reachable again after an outage. */
-  onReconnect?(): void;
+  /**
+   * Called when a call has failed or was answered late. The outage lasted at least until `untilMs` of the monotonic clock; when
+   * it ended is not known.
+   */
+  onOutage?(untilMs: number): void;
   /** Called when a call has failed and when one has succeeded again. */
   onContactChange?(change: ContactChange): void;
 }
@@ -153,7 +159,9 @@
     const result = await store.watchObjects(kind, afterRevision, waitMs, signal);
     if (signal.aborted) return;
     const nowMs = clock();
-    if (nowMs - startedAtMs > waitMs + LATE_RESPONSE_MS) this.options.onReconnect?.();
+    if (nowMs - startedAtMs > waitMs + LATE_RESPONSE_MS) {
+      this.options.onOutage?.(nowMs - MAX_DELIVERY_DELAY_MS);
+    }
     this.#markConnected();
     if (result.kind === 'history-lost') {
       log.warn('change history of the store is gone; listing all objects again', {
@@ -191,7 +199,7 @@
   }
 
   #markConnected(): void {
-    const { log, kind, clock, onReconnect, onContactChange } = this.options;
+    const { log, kind, clock, onContactChange } = this.options;
     const disconnectedAtMs = this.disconnectedAtMs;
     const wasRefreshing = this.isRefreshing;
     this.disconnectedAtMs = undefined;
@@ -200,15 +208,19 @@
     this.answeredAtMs = clock();
     if (disconnectedAtMs === undefined) return;
     log.info('store regained', { kind, lostForMs: Math.round(clock() - disconnectedAtMs) });
-    onReconnect?.();
     // A watcher that was told by another one does not tell it back.
     if (!wasRefreshing) onContactChange?.({ kind: 'regained', startedAtMs: this.callStartedAtMs });
   }
 
   async #handleFailure(error: unknown, signal: AbortSignal): Promise<void> {
-    const { log, kind, clock, onContactChange } = this.options;
+    const { log, kind, clock, onOutage, onContactChange } = this.options;
+    onOutage?.(this.callStartedAtMs);
     const isFirst = this.disconnectedAtMs === undefined;
-    const backoffMs = Math.min(MIN_BACKOFF_MS * 2 ** this.consecutiveFailures, MAX_BACKOFF_MS);
+    const intervalMs = Math.min(
+      MIN_BACKOFF_MS * 2 ** this.consecutiveFailures,
+      MAX_RETRY_INTERVAL_MS,
+    );
+    const backoffMs = Math.max(MIN_BACKOFF_MS, this.callStartedAtMs + intervalMs - clock());
     this.consecutiveFailures += 1;
     this.nextWaitMs = WAIT_AFTER_FAILURE_MS;
     this.isRefreshing = false;
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -7,10 +7,11 @@
   | { kind: 'removed'; server: BackendServer };
 
 /**
- * Grace period for removals after the store is reachable again, in milliseconds. Entries of live servers can expire
- * during an outage of the store and reappear soon after it, since servers write them about every second.
+ * Grace period for removals, in milliseconds from the last time at which the store is known to have been out of contact. Entries
+ * of live servers can expire during an outage and are back about 2 s after it. A removed server must get no requests from 3 s
+ * after the end of the outage on, which may be as late as the end of the next call.
  */
-export const REMOVAL_GRACE_MS = 2_300;
+export const REMOVAL_GRACE_MS = 2_850;
 
 /** The backend servers listed in the store. */
 export class ServerRegistry {
@@ -29,9 +30,9 @@
     return this.changeCount;
   }
 
-  /** Starts the grace period for removals, once the store is reachable again after an outage. */
-  startRemovalGrace(nowMs: number): void {
-    this.graceEndsAtMs = nowMs + REMOVAL_GRACE_MS;
+  /** Takes in that the store was out of contact until a time or longer. Removals are deferred for `REMOVAL_GRACE_MS` from then on. */
+  recordOutage(untilMs: number): void {
+    this.graceEndsAtMs = Math.max(this.graceEndsAtMs, untilMs + REMOVAL_GRACE_MS);
   }
 
   put(entry: BackendServer): void {
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -103,7 +103,7 @@
   }
 
   #createBundleWatcher(): KindWatcher {
-    const { store, log, clock, decoders, keyFreshness } = this.options;
+    const { store, log, clock, decoders, keyFreshness, registry } = this.options;
     return new KindWatcher({
       ...{ store, log, clock, kind: decoders.bundleKind, waitMs: KEY_WATCH_WAIT_MS },
       onListing: ({ objects }) => {
@@ -115,6 +115,9 @@
       onSync: (syncedAtMs) => {
         keyFreshness.recordSync(syncedAtMs);
       },
+      onOutage: (untilMs) => {
+        registry.recordOutage(untilMs);
+      },
       onContactChange: (change) => {
         refreshOther(this.serverWatcher, change, clock());
       },
@@ -135,8 +138,8 @@
       onChange: (change) => {
         this.#applyServerChange(change);
       },
-      onReconnect: () => {
-        registry.startRemovalGrace(clock());
+      onOutage: (untilMs) => {
+        registry.recordOutage(untilMs);
       },
       onSync: () => {
         for (const settle of this.listWaiters) settle();
--- a/packages/gateway/test/lapsed-servers.test.ts
+++ b/packages/gateway/test/lapsed-servers.test.ts
@@ -1,9 +1,16 @@
 import { expect, test } from 'vitest';
 import { FakeStore } from './fake-store';
+import type { StoreMode } from './fake-store';
 import { startGatewayFleet } from './gateway-fleet';
 import { isServed, LeavingServers, makeLeavingBundle, sendTraffic } from './leaving-servers';
+import { PartialStore } from './partial-store';
 
 const SERVERS = 4;
+interface OutageCase {
+  instances: number;
+  outage: Exclude<StoreMode, 'history-lost' | 'up'> | 'calls time out';
+}
+
 const OUTAGE_FROM_MS = 1_000;
 const OUTAGE_MS = 5_000;
 const MEASURED_MS = 4_500;
@@ -13,19 +20,32 @@
 /** Times after the outage at which the servers' entries are back. */
 const BACK_AFTER_MS = [300, 700, 1_100, 1_500];
 
-const outageCases = [6, 62].flatMap((instances) => [
-  { instances, mode: 'silent' as const },
-  { instances, mode: 'failing' as const },
+const outageCases = [6, 62].flatMap((instances): OutageCase[] => [
+  { instances, outage: 'silent' },
+  { instances, outage: 'failing' },
+  // Calls end at their timeouts, so that the last one that fails can begin long before the end of the outage.
+  { instances, outage: 'calls time out' },
 ]);
 
 // Guards against sound servers that are dropped since their entries lapse while the store is away for all.
 test.each(outageCases)(
-  '$instances instances, $mode store: servers whose entries lapse in an outage are used',
-  async ({ instances, mode }) => {
+  '$instances instances, $outage: servers whose entries lapse in an outage are used',
+  async ({ instances, outage }) => {
     const store = new FakeStore();
     await using backends = new LeavingServers(store, 'desk');
     await backends.startServers(SERVERS);
-    await using fleet = await startGatewayFleet(store, instances, makeLeavingBundle());
+    const partialStores: PartialStore[] = [];
+    const setOutage = (isOut: boolean) => {
+      if (outage !== 'calls time out') store.mode = isOut ? outage : 'up';
+      else
+        for (const partialStore of partialStores)
+          partialStore.setContact(isOut ? 'silent' : 'answers');
+    };
+    await using fleet = await startGatewayFleet(store, instances, makeLeavingBundle(), () => {
+      const partialStore = new PartialStore(store);
+      partialStores.push(partialStore);
+      return partialStore;
+    });
     const serverIds = Array.from({ length: SERVERS }, (_, index) => `server-${index}`);
     const outageEndMs = OUTAGE_FROM_MS + OUTAGE_MS;
     const sent = await sendTraffic(fleet.gateways, {
@@ -34,7 +54,7 @@
         {
           afterMs: OUTAGE_FROM_MS,
           run: () => {
-            store.mode = mode;
+            setOutage(true);
           },
         },
         {
@@ -46,7 +66,7 @@
         {
           afterMs: outageEndMs,
           run: () => {
-            store.mode = 'up';
+            setOutage(false);
           },
         },
         ...serverIds.map((serverId, index) => ({
@@ -62,7 +82,7 @@
       lines.filter(({ message }) => message === 'backend server removed'),
     );
     const summary =
-      `${instances} instances, ${mode}: ${unserved} of ${sent.length} not served, ` +
+      `${instances} instances, ${outage}: ${unserved} of ${sent.length} not served, ` +
       `${removals.length} removals`;
     console.log(summary);
     expect(unserved, summary).toBe(0);
--- a/packages/gateway/test/store-state.test.ts
+++ b/packages/gateway/test/store-state.test.ts
@@ -17,14 +17,14 @@
   names: Set<string>;
   syncTimes: number[];
   lines: LogLine[];
-  countReconnects: () => number;
+  outages: number[];
 }
 
 function startWatcher(store: FakeStore): WatcherFixture {
   const names = new Set<string>();
   const syncTimes: number[] = [];
   const lines: LogLine[] = [];
-  let reconnects = 0;
+  const outages: number[] = [];
   const watcher = new KindWatcher({
     store,
     kind: 'things',
@@ -41,10 +41,10 @@
       else names.delete(change.name);
     },
     onSync: (syncedAtMs) => syncTimes.push(syncedAtMs),
-    onReconnect: () => (reconnects += 1),
+    onOutage: (untilMs) => outages.push(untilMs),
   });
   watcher.start();
-  return { watcher, names, syncTimes, lines, countReconnects: () => reconnects };
+  return { watcher, names, syncTimes, lines, outages };
 }
 
 test('a watcher lists existing objects and receives changes', async () => {
@@ -90,16 +90,22 @@
     const watched = startWatcher(store);
     await using _ = watched.watcher;
     await waitUntil(() => watched.syncTimes.length > 0);
+    const failedFromMs = performance.now();
     store.mode = mode;
     await waitUntil(() => watched.lines.some(({ message }) => message === 'store lost'));
     // Guards against keys that count as up to date while the store fails.
     const syncCountBefore = watched.syncTimes.length;
     await sleep(100);
     expect(watched.syncTimes.length).toBe(syncCountBefore);
+    const returnedAtMs = performance.now();
     store.mode = 'up';
     store.put('things', 'c', {});
     await waitUntil(() => watched.names.has('c'));
-    expect(watched.countReconnects()).toBeGreaterThan(0);
+    expect(watched.outages.length).toBeGreaterThan(0);
+    // A call that failed may have begun before the outage, by its wait at most.
+    const lastOutageMs = Math.max(...watched.outages);
+    expect(lastOutageMs).toBeGreaterThan(failedFromMs - 60);
+    expect(lastOutageMs).toBeLessThanOrEqual(returnedAtMs);
     const messages = watched.lines.map(({ message }) => message);
     expect(messages.filter((message) => message === 'store lost')).toHaveLength(1);
     expect(messages.filter((message) => message === 'store regained')).toHaveLength(1);
@@ -182,7 +188,7 @@
   const { registry } = createRegistry();
   registry.put(makeServer('a', 'desk', 1));
   registry.put(makeServer('b', 'desk', 2));
-  registry.startRemovalGrace(1_000);
+  registry.recordOutage(1_000);
   // Guards against an instance that knows no backend server after an outage of the store.
   registry.replaceAll([], 1_100);
   expect(registry.listReady('desk')).toHaveLength(2);
@@ -194,7 +200,7 @@
 test('a draining server is removed at once after an outage of the store', () => {
   const { registry } = createRegistry();
   registry.put({ ...makeServer('a', 'desk', 1), state: 'draining' });
-  registry.startRemovalGrace(1_000);
+  registry.recordOutage(1_000);
   registry.remove('a', 1_100);
   expect(registry.count()).toBe(0);
 });
