Tell other instances which entries of servers have been removed

Cause: instances tell each other which servers say that they leave, but not which entries were removed; and an instance that returns cannot tell a removal from an entry that has lapsed in an outage of the store, so it waits.

Change: an instance that removes a server publishes its id and the revision of the store as of which the entry is gone. The others remove it at once, without grace, if their entry is not newer, and ignore older entries afterwards; so a server that has started again is not affected. An instance that reads the store again after an outage asks others for what it has missed. An attempt is also withdrawn just before its first byte when its server is no longer listed. Others that were in contact all the while are what tells a removal from a lapsed entry: when all were without contact nobody tells anything, and the grace holds.

--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -12,6 +12,7 @@
 import { PeerSocket } from './peer-socket';
 import type { PeerAddress } from './peer-socket';
 import { QuarantineArchive } from './quarantine-archive';
+import { RemovalSharing } from './removal-sharing';
 import { RequestQuarantine } from './request-quarantine';
 import { ServerAvailability } from './server-availability';
 import type { LeavingSource } from './server-availability';
@@ -36,12 +37,13 @@
 
 /**
  * What this instance exchanges with others over one socket: loads and prompts with its group, and with the whole fleet the
- * requests that crash servers, the servers that leave and the limits that servers name.
+ * requests that crash servers, the servers that leave or are removed and the limits that servers name.
  */
 export class FleetExchange implements AsyncDisposable {
   readonly quarantine: RequestQuarantine;
   readonly limitSharing: LimitSharing;
   readonly availability: ServerAvailability;
+  private readonly removalSharing: RemovalSharing;
   private readonly socket: PeerSocket;
   private readonly gossip: FleetGossip;
   private readonly instanceWatch: InstanceWatch;
@@ -67,6 +69,7 @@
         ...this.quarantine.listFacts(),
         ...this.availability.listFacts(),
         ...this.limitSharing.listFacts(),
+        ...this.removalSharing.listFacts(),
       ],
     });
     const publish: FleetGossip['publish'] = (key, build, urgency) => {
@@ -88,6 +91,7 @@
       countInstances: (service) =>
         isDivided(service) ? groups.countMembers() : this.instances.length,
     });
+    this.removalSharing = new RemovalSharing({ publish, registry, clock });
     this.limitSharing = new LimitSharing({
       ...{ instanceId, socket, publish, clock, log },
       isDivided,
@@ -119,6 +123,12 @@
   handleServerChange(change: ServerChange): void {
     this.availability.handleServerChange(change);
     this.limitSharing.handleServerChange(change.server);
+    this.removalSharing.handleServerChange(change);
+  }
+
+  /** Asks other instances for what this one may have missed in an outage of the store. */
+  requestMissedFacts(): void {
+    this.gossip.requestMissedFacts();
   }
 
   /** Adds a prompt to the next report to the group. */
@@ -145,6 +155,9 @@
       case 'leaving':
         this.availability.mergeFact(fact);
         return;
+      case 'removed':
+        this.removalSharing.mergeFact(fact);
+        return;
       case 'limit':
         this.limitSharing.mergeFact(fact);
         return;
--- a/packages/gateway/src/fleet-gossip.ts
+++ b/packages/gateway/src/fleet-gossip.ts
@@ -75,6 +75,12 @@
     if (!hadPeers) this.#requestMissedFacts();
   }
 
+  /** Asks some instances for the facts that this one may have missed while it had no contact. */
+  requestMissedFacts(): void {
+    this.questionsLeft = MAX_QUESTIONS;
+    this.#requestMissedFacts();
+  }
+
   /** Asks instances for all facts; an instance that runs replies also when it knows none. */
   requestFacts(peers: readonly PeerAddress[]): void {
     this.#send({ wantsFacts: true, facts: [] }, peers);
@@ -144,14 +150,14 @@
     );
     if (facts.length === 0) return;
     const receivers = this.#pickPeers(FANOUT);
-    for (const part of splitLeavingFacts(facts)) {
+    for (const part of splitByKind(facts)) {
       if (part.length > 0) this.#send({ wantsFacts: false, facts: part }, receivers);
     }
   }
 
   #sendRepair(): void {
     const receivers = this.#pickPeers(1);
-    for (const part of splitLeavingFacts(this.options.listFacts())) {
+    for (const part of splitByKind(this.options.listFacts())) {
       const [facts] = splitFacts(part);
       if (facts !== undefined) this.#send({ wantsFacts: false, facts }, receivers);
     }
@@ -169,10 +175,10 @@
     if (!wantsFacts) this.questionsLeft = 0;
     for (const fact of facts) onFact(fact);
     if (!wantsFacts) return;
-    const [usual, separate] = splitLeavingFacts(listFacts());
+    const [usual, ...separate] = splitByKind(listFacts());
     // A reply without facts shows a sender of any version that this instance runs.
     const replies = usual.length > 0 ? splitFacts(usual) : [[]];
-    for (const reply of [...replies, ...splitFacts(separate)]) {
+    for (const reply of [...replies, ...separate.flatMap(splitFacts)]) {
       this.#send({ wantsFacts: false, facts: reply }, [sender]);
     }
   }
@@ -199,10 +205,13 @@
  * Separates the facts that instances of older versions do not know, since these reject a message as a whole. It also keeps many
  * facts of one kind from taking the place of the others.
  */
-function splitLeavingFacts(facts: readonly GossipFact[]): [GossipFact[], GossipFact[]] {
+function splitByKind(
+  facts: readonly GossipFact[],
+): [usual: GossipFact[], leaving: GossipFact[], removed: GossipFact[]] {
   return [
-    facts.filter(({ kind }) => kind !== 'leaving'),
+    facts.filter(({ kind }) => kind !== 'leaving' && kind !== 'removed'),
     facts.filter(({ kind }) => kind === 'leaving'),
+    facts.filter(({ kind }) => kind === 'removed'),
   ];
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -192,6 +192,9 @@
       onBundle: (bundle, revision) => {
         this.#applyBundle(bundle, revision);
       },
+      onRegain: () => {
+        this.fleetExchange.requestMissedFacts();
+      },
       onInstances: (instances) => {
         groups.update(instances.map(({ instanceId }) => instanceId));
         this.fleetExchange.setInstances(instances);
--- a/packages/gateway/src/gossip-codec.ts
+++ b/packages/gateway/src/gossip-codec.ts
@@ -3,7 +3,8 @@
 import type { LimitFact, RequestTrait, TraitFact } from '@pollendrum/policy';
 
 /** A fact as it travels between instances. */
-export type GossipFact = AgedTraitFact | ProbeFact | LeavingFact | ({ kind: 'limit' } & LimitFact);
+export type GossipFact =
+  AgedTraitFact | ProbeFact | LeavingFact | RemovedFact | ({ kind: 'limit' } & LimitFact);
 
 /** A start of a backend server leaves. */
 export interface LeavingFact {
@@ -11,6 +12,13 @@
   serverKey: string;
 }
 
+/** The entry of a backend server has been removed. Entries of the server with a later revision of the store hold. */
+export interface RemovedFact {
+  kind: 'removed';
+  serverId: string;
+  revision: number;
+}
+
 /** A fact about a trait with its age instead of its time, since the instances' clocks differ. */
 export type AgedTraitFact = { ageMs: number } & (
   { kind: 'crash'; trait: RequestTrait; crashId: string } | { kind: 'sound'; trait: RequestTrait }
@@ -90,6 +98,8 @@
       return [fact.kind, fact.trait, Math.round(fact.ageMs)];
     case 'leaving':
       return ['leaving', fact.serverKey];
+    case 'removed':
+      return ['removed', fact.serverId, fact.revision];
     case 'limit':
       return ['limit', fact.serverKey, fact.version, fact.requestsPerSecond ?? null];
   }
@@ -107,6 +117,8 @@
       return { kind: update[0], trait: update[1] as RequestTrait, ageMs: update[2] };
     case 'leaving':
       return { kind: 'leaving', serverKey: update[1] };
+    case 'removed':
+      return { kind: 'removed', serverId: update[1], revision: update[2] };
     case 'limit':
       return {
         ...{ kind: 'limit', serverKey: update[1], version: update[2] },
--- a/packages/gateway/src/request-dispatcher.ts
+++ b/packages/gateway/src/request-dispatcher.ts
@@ -9,6 +9,7 @@
 import type { AttemptRecord } from './request-log';
 import { decodeRetryAfter } from './retry-after';
 import type { ServerChoice } from './server-chooser';
+import { makeServerKey } from './server-key';
 import type { BackendServer, Service } from './bundle';
 
 /**
@@ -235,7 +236,11 @@
 
   /** Returns why a request that waited for its connection is not sent any more; undefined if it is. */
   #checkSend(server: BackendServer): string | undefined {
-    const { availability, clock } = this.exchange.context;
+    const { availability, clock, registry } = this.exchange.context;
+    const listed = registry.get(server.serverId);
+    if (listed === undefined || makeServerKey(listed) !== makeServerKey(server)) {
+      return 'the server is no longer listed';
+    }
     const judgement = availability.judge(server, clock());
     switch (judgement.kind) {
       case 'available':
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -4,7 +4,23 @@
 export type ServerChange =
   | { kind: 'added'; server: BackendServer }
   | { kind: 'changed'; server: BackendServer; isRestarted: boolean }
-  | { kind: 'removed'; server: BackendServer };
+  /** `revision` is that of the store as of which the entry is gone; undefined if it is there and cannot be read. */
+  | { kind: 'removed'; server: BackendServer; revision: number | undefined };
+
+/** An entry of a backend server. */
+export interface ServerEntry {
+  server: BackendServer;
+  /** Revision of the store at which the entry changed last. */
+  revision: number;
+}
+
+interface DeferredRemoval {
+  dueAtMs: number;
+  revision: number | undefined;
+}
+
+/** Removals told by other instances that are kept, so that entries from before them are not put again. */
+const MAX_TOLD_REMOVALS = 16_384;
 
 /**
  * Grace period for removals, in milliseconds from the last time at which the store is known to have been out of contact. Entries
@@ -16,8 +32,12 @@
 /** The backend servers listed in the store. */
 export class ServerRegistry {
   private readonly servers = new Map<string, BackendServer>();
-  /** Due time of each deferred removal by server id, in milliseconds of the monotonic clock. */
-  private readonly deferredRemovals = new Map<string, number>();
+  /** Deferred removals by server id; due times are in milliseconds of the monotonic clock. */
+  private readonly deferredRemovals = new Map<string, DeferredRemoval>();
+  /** Revision of each listed entry by server id. */
+  private readonly revisions = new Map<string, number>();
+  /** Revision of each removal that another instance has told, by server id, the oldest first. */
+  private readonly toldRemovals = new Map<string, number>();
   /** Ready servers by service, selected since the last change. */
   private readonly readyServers = new Map<string, readonly BackendServer[]>();
   private graceEndsAtMs = -Infinity;
@@ -35,11 +55,15 @@
     this.graceEndsAtMs = Math.max(this.graceEndsAtMs, untilMs + REMOVAL_GRACE_MS);
   }
 
-  put(entry: BackendServer): void {
+  /** @param revision of the store at which the entry changed; by default it is newer than all that is known */
+  put(entry: BackendServer, revision = Infinity): void {
+    if (revision <= (this.toldRemovals.get(entry.serverId) ?? -1)) return;
+    this.toldRemovals.delete(entry.serverId);
     this.deferredRemovals.delete(entry.serverId);
     const previous = this.servers.get(entry.serverId);
     const server = addStartTime(entry, previous);
     this.servers.set(server.serverId, server);
+    this.revisions.set(server.serverId, revision);
     this.#recordChange();
     if (previous === undefined) {
       this.onChange({ kind: 'added', server });
@@ -51,33 +75,46 @@
   /**
    * Removes a server whose entry was deleted. During the grace period the removal of a ready server is deferred;
    * a draining server is removed at once.
+   *
+   * @param revision of the store as of which the entry is gone; undefined if it is there and cannot be read
    */
-  remove(serverId: string, nowMs: number): void {
-    const server = this.servers.get(serverId);
-    if (server === undefined) return;
-    if (server.state === 'ready' && nowMs < this.graceEndsAtMs) {
-      this.deferredRemovals.set(serverId, this.graceEndsAtMs);
+  remove(serverId: string, nowMs: number, revision?: number): void {
+    if (this.servers.get(serverId)?.state === 'ready' && nowMs < this.graceEndsAtMs) {
+      this.deferredRemovals.set(serverId, { dueAtMs: this.graceEndsAtMs, revision });
       return;
     }
-    this.deferredRemovals.delete(serverId);
-    this.servers.delete(serverId);
-    this.#recordChange();
-    this.onChange({ kind: 'removed', server });
+    this.#removeNow(serverId, revision);
   }
 
-  /** Replaces all servers with a complete listing. */
-  replaceAll(servers: readonly BackendServer[], nowMs: number): void {
-    const listedIds = new Set(servers.map((server) => server.serverId));
+  /**
+   * Removes a server that another instance has seen removed, without a grace period. Entries of the server that are not newer
+   * than the revision are ignored from then on.
+   */
+  removeAtRevision(serverId: string, revision: number): void {
+    if ((this.revisions.get(serverId) ?? -1) > revision) return;
+    if ((this.toldRemovals.get(serverId) ?? -1) >= revision) return;
+    this.toldRemovals.delete(serverId);
+    this.toldRemovals.set(serverId, revision);
+    const [oldest] = this.toldRemovals.keys();
+    if (oldest !== undefined && this.toldRemovals.size > MAX_TOLD_REMOVALS) {
+      this.toldRemovals.delete(oldest);
+    }
+    this.#removeNow(serverId, revision);
+  }
+
+  /** Replaces all servers with a complete listing as of a revision of the store. */
+  replaceAll(entries: readonly ServerEntry[], nowMs: number, revision: number): void {
+    const listedIds = new Set(entries.map(({ server }) => server.serverId));
     for (const serverId of [...this.servers.keys()]) {
-      if (!listedIds.has(serverId)) this.remove(serverId, nowMs);
+      if (!listedIds.has(serverId)) this.remove(serverId, nowMs, revision);
     }
-    for (const server of servers) this.put(server);
+    for (const entry of entries) this.put(entry.server, entry.revision);
   }
 
   /** Removes the servers whose entries did not reappear within the grace period. */
   applyDeferredRemovals(nowMs: number): void {
-    for (const [serverId, dueAtMs] of this.deferredRemovals) {
-      if (dueAtMs <= nowMs) this.remove(serverId, nowMs);
+    for (const [serverId, { dueAtMs, revision }] of this.deferredRemovals) {
+      if (dueAtMs <= nowMs) this.#removeNow(serverId, revision);
     }
   }
 
@@ -100,6 +137,16 @@
     return this.servers.size;
   }
 
+  #removeNow(serverId: string, revision: number | undefined): void {
+    this.deferredRemovals.delete(serverId);
+    const server = this.servers.get(serverId);
+    if (server === undefined) return;
+    this.servers.delete(serverId);
+    this.revisions.delete(serverId);
+    this.#recordChange();
+    this.onChange({ kind: 'removed', server, revision });
+  }
+
   #recordChange(): void {
     this.changeCount += 1;
     this.readyServers.clear();
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -9,7 +9,7 @@
 import { isUsableAddress } from './peer-socket';
 import type { PeerAddress } from './peer-socket';
 import type { Clock, GatewayLog } from './log-and-clock';
-import type { ServerRegistry } from './server-registry';
+import type { ServerEntry, ServerRegistry } from './server-registry';
 import type { ObjectChange, ObjectStore, StoredObject } from './object-store';
 
 /** Decodes the platform's stored objects into the gateway's types. */
@@ -30,6 +30,8 @@
   keyFreshness: KeyFreshness;
   /** Called with each valid bundle, possibly several times with the same version. */
   onBundle(bundle: RouteBundle, revision: number): void;
+  /** Called when the servers or the configuration are read again after an outage. */
+  onRegain(): void;
   /** Called with all announced instances, including this one. */
   onInstances(instances: readonly PeerAddress[]): void;
 }
@@ -120,6 +122,7 @@
       },
       onContactChange: (change) => {
         refreshOther(this.serverWatcher, change, clock());
+        if (change.kind === 'regained') this.options.onRegain();
       },
     });
   }
@@ -128,11 +131,12 @@
     const { store, log, clock, decoders, registry } = this.options;
     return new KindWatcher({
       ...{ store, log, clock, kind: decoders.serverKind },
-      onListing: ({ objects }) => {
-        const servers = objects.map((object) => this.#decodeServer(object));
+      onListing: ({ objects, revision }) => {
+        const entries = objects.map((object) => this.#decodeServer(object));
         registry.replaceAll(
-          servers.filter((server) => server !== undefined),
+          entries.filter((entry) => entry !== undefined),
           clock(),
+          revision,
         );
       },
       onChange: (change) => {
@@ -146,6 +150,7 @@
       },
       onContactChange: (change) => {
         refreshOther(this.bundleWatcher, change, clock());
+        if (change.kind === 'regained') this.options.onRegain();
       },
     });
   }
@@ -184,16 +189,24 @@
   /** Applies a change to the registry. A server whose entry can no longer be decoded is removed. */
   #applyServerChange(change: ObjectChange): void {
     const { registry, clock } = this.options;
-    const server = change.kind === 'put' ? this.#decodeServer(change.object) : undefined;
-    if (server !== undefined) registry.put(server);
-    else registry.remove(change.kind === 'put' ? change.object.name : change.name, clock());
+    switch (change.kind) {
+      case 'deleted':
+        registry.remove(change.name, clock(), change.revision);
+        return;
+      case 'put': {
+        const entry = this.#decodeServer(change.object);
+        if (entry === undefined) registry.remove(change.object.name, clock());
+        else registry.put(entry.server, entry.revision);
+        return;
+      }
+    }
   }
 
-  #decodeServer(object: StoredObject): BackendServer | undefined {
-    const parsed = this.options.decoders.decodeServer(object.name, object.spec);
-    if (parsed.ok) return parsed.value;
+  #decodeServer({ name, spec, revision }: StoredObject): ServerEntry | undefined {
+    const parsed = this.options.decoders.decodeServer(name, spec);
+    if (parsed.ok) return { server: parsed.value, revision };
     this.options.log.warn('invalid entry of a backend server', {
-      serverId: object.name,
+      serverId: name,
       findings: parsed.findings.map(formatFinding),
     });
     return undefined;
--- a/packages/gateway/test/quarantine-fleet.ts
+++ b/packages/gateway/test/quarantine-fleet.ts
@@ -23,7 +23,9 @@
     const gossip: FleetGossip = new FleetGossip({
       ...{ ...base, socket: network.createSocket(port) },
       onFact: (fact) => {
-        if (fact.kind !== 'limit' && fact.kind !== 'leaving') quarantine.mergeFact(fact);
+        if (fact.kind === 'crash' || fact.kind === 'sound' || fact.kind === 'probe') {
+          quarantine.mergeFact(fact);
+        }
       },
       listFacts: () => quarantine.listFacts(),
     });
