Break off responses of the platform that have no end

Cause: the client of the platform reads a response to its end and keeps all of it; only its timeout ended one without end, after as many bytes as arrive until then.

Change: a response of more than 16 MiB is broken off; the platform's pages and objects have about 1 MB.

Measured: http-client.test.ts, a response without end in chunks and one of a huge length: the call read on for its whole timeout of 20 s before, and fails after 16 MiB now; both cases failed before.

--- a/packages/platform/src/client/http-client.ts
+++ b/packages/platform/src/client/http-client.ts
@@ -28,6 +28,8 @@
 }
 
 const MAX_CONNECTIONS = 32;
+/** Largest response in bytes; the platform's pages and objects have about 1 MB. */
+const MAX_RESPONSE_BYTES = 16 * 2 ** 20;
 /** Time after which a connection that is not open is given up, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 2_000;
 
@@ -86,6 +88,7 @@
     return new Pool(this.url, {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
+      maxResponseSize: MAX_RESPONSE_BYTES,
       connect: (options, callback) => {
         connect(options, (...result) => {
           if (result[0] === null) this.options.onConnect?.(result[1]);
--- a/packages/platform/test/http-client.test.ts
+++ b/packages/platform/test/http-client.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
+import { createServer } from 'node:http';
 import { connect } from 'node:net';
-import type { Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { Worker } from 'node:worker_threads';
 import { expect, test } from 'vitest';
 import { HttpClient } from '../src/index';
@@ -57,3 +58,32 @@
   await expect(call).rejects.toThrow('list servers');
   expect(performance.now() - startedAtMs).toBeLessThan(TIMEOUT_MS + TOLERANCE_MS);
 });
+
+/** More than the largest response that is read, in bytes. */
+const MIN_ENDLESS_BYTES = 16 * 2 ** 20;
+const PART = Buffer.alloc(2 ** 20, ' ');
+
+// Guards against a response without end that is kept until the memory is used up.
+test.each([
+  { name: 'in chunks', headers: {} },
+  { name: 'of a length', headers: { 'content-length': '1000000000000' } },
+])('a response without end $name is broken off', async ({ headers }) => {
+  let sentBytes = 0;
+  const server = createServer((_, response) => {
+    response.writeHead(200, headers);
+    const send = () => {
+      sentBytes += PART.length;
+      if (!response.destroyed && sentBytes < 20 * MIN_ENDLESS_BYTES) response.write(PART, send);
+    };
+    send();
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  await using client = new HttpClient(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+  const call = client.sendRequest({
+    ...{ method: 'GET', path: '/objects/servers', operation: 'list servers', timeoutMs: 20_000 },
+  });
+  await expect(call).rejects.toThrow('list servers');
+  server.closeAllConnections();
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  expect(sentBytes).toBeLessThan(2 * MIN_ENDLESS_BYTES);
+});
