Break off answers of backend servers with too much framing

Heads and trailers of very many lines stop the instance for up to 1.7 s.

Cause: the parser of undici has no limit for what it drops unseen, and beyond its limit for heads it creates an error for each further line that has arrived.

Change: the bytes of an answer that are not its body are limited to 128 KiB and 16 bytes for each byte of the body, counted at the socket before they are parsed. The limit of heads is checked when the head is complete, 16 KiB as before, and that of undici is no longer reached.

--- a/packages/gateway/src/backend-attempt.ts
+++ b/packages/gateway/src/backend-attempt.ts
@@ -1,6 +1,11 @@
 import type { Dispatcher } from 'undici';
 import type { LeasedConnection } from './backend-connections';
 
+/** Largest head of a response, in bytes. */
+const MAX_HEAD_BYTES = 16_384;
+/** Bytes that each header takes beside its name and value: a colon, a space and CRLF. */
+const HEADER_OVERHEAD_BYTES = 4;
+
 /** Request of one attempt at a backend server. */
 export interface AttemptRequest {
   method: string;
@@ -84,10 +89,17 @@
       },
       onResponseStart(_, status, headers) {
         if (status < 200 || isEnded) return;
-        const raw = controller?.rawHeaders;
-        handlers.onResponse({ status, headers, rawHeaders: toStrings(raw) });
+        const rawHeaders = toStrings(controller?.rawHeaders);
+        if (measureHead(rawHeaders) <= MAX_HEAD_BYTES) {
+          handlers.onResponse({ status, headers, rawHeaders });
+          return;
+        }
+        const reason = `the head of the answer is larger than ${MAX_HEAD_BYTES} bytes`;
+        end({ kind: 'broken', reason });
+        controller?.abort(new Error(reason));
       },
       onResponseData(_, chunk) {
+        connection.recordBody(chunk.length);
         if (!isEnded && !handlers.onData(chunk)) controller?.pause();
       },
       onResponseEnd() {
@@ -119,6 +131,11 @@
   );
 }
 
+function measureHead(rawHeaders: readonly string[]): number {
+  const textBytes = rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  return textBytes + (rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
+}
+
 function describeError(error: Error): string {
   const code = (error as NodeJS.ErrnoException).code;
   return code === undefined ? error.message : `${code}: ${error.message}`;
--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import type { buildConnector } from 'undici';
 import type { TrafficMeter } from './traffic-meter';
@@ -19,9 +20,27 @@
  */
 const MAX_NON_IDEMPOTENT_IDLE_MS = 6_000;
 
+/**
+ * Largest part of an answer that is not its body, in bytes: status lines, headers, chunk sizes and trailers. The parser of
+ * undici drops some of it unseen and without a limit.
+ */
+const MAX_FRAMING_BYTES = 2 ** 17;
+/**
+ * Limit of undici for a head, in bytes. It is never reached: beyond its limit undici creates an error for each further line that
+ * has arrived, which takes over 100 ms.
+ */
+const PARSER_MAX_HEAD_BYTES = 2 * MAX_FRAMING_BYTES;
+/** Further bytes of framing for each byte of a body that is sent in small chunks. */
+const FRAMING_BYTES_PER_BODY_BYTE = 16;
+
 /** State of a client's socket, set by the connector. */
 interface SocketState {
   wasReset: boolean;
+  socket: Socket | undefined;
+  /** Bytes that the socket had read before the present request. */
+  readBefore: number;
+  /** Bytes of the body of the present answer. */
+  bodyBytes: number;
 }
 
 interface OpenConnection {
@@ -38,6 +57,8 @@
   client: Client;
   /** Whether the server reset the connection; undici then reports a response without a length as complete. */
   wasReset(): boolean;
+  /** Records bytes of the answer's body. An answer with far more other bytes is broken off. */
+  recordBody(bytes: number): void;
   /** Returns the connection for reuse, or discards it when it is closed or not reusable. */
   release(isReusable: boolean): void;
 }
@@ -63,9 +84,14 @@
     if (this.inUse >= limit) return undefined;
     this.inUse += 1;
     const { client, state } = this.#takeIdle(allowsLongIdle) ?? this.#createClient();
+    state.readBefore = state.socket?.bytesRead ?? 0;
+    state.bodyBytes = 0;
     let isReleased = false;
     return {
       client,
+      recordBody: (bytes) => {
+        state.bodyBytes += bytes;
+      },
       wasReset: () => state.wasReset,
       release: (isReusable) => {
         if (isReleased) return;
@@ -108,9 +134,12 @@
   }
 
   #createClient(): OpenConnection {
-    const state: SocketState = { wasReset: false };
+    const state: SocketState = {
+      ...{ wasReset: false, socket: undefined, readBefore: 0, bodyBytes: 0 },
+    };
     const client = new Client(this.origin, {
       pipelining: 1,
+      maxHeaderSize: PARSER_MAX_HEAD_BYTES,
       connect: createConnector(state, this.traffic),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_TIMEOUT_MS,
@@ -139,6 +168,8 @@
     traffic.addSocket('backend', socket);
     socket.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
     state.wasReset = false;
+    state.socket = socket;
+    state.readBefore = 0;
     let isSettled = false;
     const settle = (error: Error | null) => {
       if (isSettled) return;
@@ -154,6 +185,13 @@
     const timer = setTimeout(() => {
       settle(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
     }, CONNECT_TIMEOUT_MS);
+    // Runs before undici's listener, which parses what has arrived.
+    socket.on('readable', () => {
+      const parsedBytes = socket.bytesRead - socket.readableLength - state.readBefore;
+      const framingBytes = parsedBytes - state.bodyBytes;
+      const limit = MAX_FRAMING_BYTES + state.bodyBytes * FRAMING_BYTES_PER_BODY_BYTE;
+      if (framingBytes > limit) socket.destroy(new Error('the answer has too much framing'));
+    });
     socket.once('connect', () => {
       settle(null);
     });
