Bound the cost of event streams in size and rate

What callers saw: one of 8 servers that sends an event without end brings all instances to full load, and a third of the requests to sound servers fail.

Cause: an incomplete event was kept whatever its size, and joined and searched anew with each part, at a cost that grows with its square. A server of many small events took as much processor time as there was.

Change: parts are collected without searching them again; an event of over 1 MiB ends the attempt. Each stream has an allowance of reading, 8 MiB at once and 2 MiB a second with 2 KiB for each part and line: some 1,000 events at once and 250 a second. Beyond it reading stops for a time, or the attempt ends if not one event was complete. Streams of tokens of the users' sites have 47 events a second and at most 194.

--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -1,7 +1,8 @@
+import { StreamPace } from '@pollendrum/policy';
 import type { ResponseHead, AttemptEnd, RunningAttempt } from './backend-attempt';
 import { computeOverdueAfterMs } from './request-dispatcher';
 import type { Dispatch, RequestDispatcher } from './request-dispatcher';
-import { EventSplitter } from './event-splitter';
+import { EventSplitter, MAX_EVENT_BYTES } from './event-splitter';
 import type { EventBatch } from './event-splitter';
 import type { EventSequence } from './event-sequence';
 import type { Exchange } from './exchange';
@@ -45,10 +46,14 @@
 export class StreamAttempt {
   private readonly splitter = new EventSplitter();
   private readonly otherBodyChunks: Buffer[] = [];
+  private readonly pace: StreamPace;
+  private paceTimer: NodeJS.Timeout | undefined;
   private readonly startedAtMs: number;
   private hasEvents = false;
-  /** Whether reading has stopped until `resume` is called, so that missing data is no sign of a silent server. */
-  private isPaused = false;
+  /** Whether an event is complete since reading has begun or has stopped last to limit its rate. */
+  private hasProgress = false;
+  /** Why reading has stopped; meanwhile missing data is no sign of a silent server. */
+  private readonly pauses = new Set<'caller' | 'pace'>();
   private head: ResponseHead | undefined;
   private decoded: DecodedResponse | undefined;
   private inactivityTimer: NodeJS.Timeout | undefined;
@@ -57,6 +62,7 @@
 
   constructor(private readonly options: StreamAttemptOptions) {
     this.startedAtMs = options.exchange.context.clock();
+    this.pace = new StreamPace(this.startedAtMs);
   }
 
   /** Sends the request and resolves when the attempt has ended. */
@@ -85,11 +91,7 @@
 
   /** Continues to read the response after `onEvents` has returned false. */
   resume(): void {
-    if (this.isPaused) {
-      this.isPaused = false;
-      this.#startInactivityTimer(this.options.inactivityTimeoutMs ?? 0);
-    }
-    this.attempt?.resume();
+    this.#endPause('caller');
   }
 
   #handleResponse(head: ResponseHead): void {
@@ -118,14 +120,40 @@
       this.#failAttempt(error);
       return true;
     }
-    let isWritable = true;
     if (events.bytes.length > 0) {
       if (!dispatch.hasAnswerBegun) dispatcher.recordAnswerBegun(dispatch);
-      isWritable = onEvents(events, this.head);
+      this.hasProgress = true;
+      if (!onEvents(events, this.head)) this.pauses.add('caller');
     }
     if (events.isMalformed) this.#failAttempt('the stream contains text that is not an event');
-    if (!isWritable) this.#stopInactivityTimer();
-    return isWritable;
+    if (this.splitter.isEventTooLarge()) {
+      this.#failAttempt(`an event is larger than ${MAX_EVENT_BYTES} bytes`);
+    }
+    this.#startPacePause(chunk.length, events.lineCount);
+    if (this.pauses.size === 0) return true;
+    clearTimeout(this.inactivityTimer);
+    return false;
+  }
+
+  #startPacePause(bytes: number, lines: number): void {
+    const delayMs = this.pace.recordPart({ bytes, lines }, this.options.exchange.context.clock());
+    if (delayMs === 0) return;
+    if (!this.hasProgress) {
+      this.#failAttempt('an event arrives in too many parts');
+      return;
+    }
+    this.hasProgress = false;
+    this.pauses.add('pace');
+    clearTimeout(this.paceTimer);
+    this.paceTimer = setTimeout(() => {
+      this.#endPause('pace');
+    }, delayMs);
+  }
+
+  #endPause(pause: 'caller' | 'pace'): void {
+    if (!this.pauses.delete(pause) || this.pauses.size > 0) return;
+    this.#startInactivityTimer(this.options.inactivityTimeoutMs ?? 0);
+    this.attempt?.resume();
   }
 
   #isStream(): boolean {
@@ -168,11 +196,6 @@
     }, delayMs);
   }
 
-  #stopInactivityTimer(): void {
-    this.isPaused = true;
-    clearTimeout(this.inactivityTimer);
-  }
-
   #failAttempt(reason: string): void {
     this.attempt?.cancel(reason);
     this.#settle({ kind: 'broken', reason });
@@ -180,6 +203,8 @@
 
   #settle(result: StreamAttemptResult): void {
     clearTimeout(this.inactivityTimer);
+    clearTimeout(this.paceTimer);
+    this.pauses.clear();
     this.settleRun(this.options.exchange.isEnded() ? { kind: 'ended' } : result);
   }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -10,3 +10,4 @@
 export * from './quarantine';
 export * from './limits';
 export * from './availability';
+export * from './pacing';
--- /dev/null
+++ b/packages/policy/src/pacing/index.ts
@@ -0,0 +1,1 @@
+export * from './stream-pace';
