Bound the memory of answers that are kept until they are complete

What callers saw: a server that sends a body without end takes the memory of each instance that has called it, whose process ends with the requests of all others.

Cause: plain answers, and answers to streams that are no event streams, were kept whatever their size.

Change: an answer may have 16 MiB and all answers of an instance 64 MiB together, from their first byte until the caller has read them or has left. Beyond that the largest answer that is still being received is given up, so that small sound ones go on; one whose head announces too much ends with its head. The request counts as one that may have run: it is repeated elsewhere if it is idempotent, and its caller gets 502 otherwise. An answer in parts of under 16 bytes on average ends after 4,096 parts.

--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -6,6 +6,7 @@
   RetryBudget,
 } from '@pollendrum/policy';
 import type { GatewaySettings } from '@pollendrum/protocol';
+import type { AnswerBuffers } from './answer-buffers';
 import type { AvailabilityObserver } from './availability-observer';
 import type { BackendPool } from './backend-pool';
 import type { CrashObserver } from './crash-observer';
@@ -38,6 +39,7 @@
   failures: FailureTracker;
   retryBudget: RetryBudget;
   backendPool: BackendPool;
+  answerBuffers: AnswerBuffers;
   crashObserver: CrashObserver;
   availability: ServerAvailability;
   availabilityObserver: AvailabilityObserver;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
   SpeedTracker,
 } from '@pollendrum/policy';
 import type { GatewaySettings } from '@pollendrum/protocol';
+import { AnswerBuffers } from './answer-buffers';
 import { AvailabilityObserver } from './availability-observer';
 import { BackendPool } from './backend-pool';
 import type { BackendServer, RouteBundle } from './bundle';
@@ -138,6 +139,7 @@
         minimumRetries: () => (settings.retrySlack * RETRY_SLACK_SHARE) / countInstances(),
       }),
       backendPool: new BackendPool(clock, countInstances, traffic),
+      answerBuffers: new AnswerBuffers(),
       crashObserver: new CrashObserver({
         clock,
         log,
--- a/packages/gateway/src/plain-request-handler.ts
+++ b/packages/gateway/src/plain-request-handler.ts
@@ -1,3 +1,4 @@
+import { StreamPace } from '@pollendrum/policy';
 import type { ResponseHead, AttemptEnd, RunningAttempt } from './backend-attempt';
 import { describeRejection, RequestDispatcher, resolveRetryAfterMs } from './request-dispatcher';
 import type { Dispatch } from './request-dispatcher';
@@ -14,6 +15,8 @@
 /** Lower bound of the response timeout of an idempotent request, in milliseconds. */
 const MIN_RESPONSE_TIMEOUT_MS = 150;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** Mean size below which the parts of an answer of very many parts are too small, in bytes. */
+const MIN_PART_BYTES = 16;
 
 /** Result of one attempt. */
 type PlainAttemptResult =
@@ -141,7 +144,6 @@
     const { context, input } = this.exchange;
     const { serverId } = dispatch.choice.server;
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
       const startedAtMs = context.clock();
       let head: ResponseHead | undefined;
       const canRetry =
@@ -164,24 +166,50 @@
       const settle = (result: PlainAttemptResult) => {
         clearTimeout(responseTimer);
         this.attempt = undefined;
+        if (result.kind !== 'answer' && result.kind !== 'server-error') body.release();
         resolve(this.exchange.isEnded() ? { kind: 'ended' } : result);
       };
+      // Only the number of parts is paced; the bytes are bounded by the buffer.
+      const pace = new StreamPace(startedAtMs);
+      let parts = 0;
+      const body = context.answerBuffers.createBuffer((reason) => {
+        attempt.cancel('too-large');
+        settle({ kind: 'may-have-run', reason });
+      });
+      // Also when nobody waits for the answer any more; what arrives then is dropped.
+      input.response.once('close', () => {
+        body.release();
+      });
       const attempt = this.dispatcher.send(dispatch, undefined, {
         onResponse: (response) => {
           head = response;
           const decoded = this.#decodeResponse(response);
-          if (decoded.kind !== 'foreign') return;
+          if (decoded.kind !== 'foreign') {
+            if (input.request.method !== 'HEAD')
+              body.checkLength(response.headers['content-length']);
+            return;
+          }
           // The request's own answer may follow, so the connection must not serve another request.
           attempt.cancel(decoded.kind);
           settle({ kind: 'may-have-run', reason: decoded.reason });
         },
         onData: (chunk) => {
-          chunks.push(chunk);
-          return true;
+          body.add(chunk);
+          parts += 1;
+          const delayMs = pace.recordPart({ bytes: 0, lines: 0 }, context.clock());
+          if (delayMs === 0) return true;
+          if (body.countBytes() < parts * MIN_PART_BYTES) {
+            body.reject('the answer arrives in too many parts');
+            return true;
+          }
+          setTimeout(() => {
+            attempt.resume();
+          }, delayMs);
+          return false;
         },
         onEnd: (end) => {
           const nowMs = context.clock();
-          const result = this.#resolveResult(end, head, Buffer.concat(chunks), dispatch);
+          const result = this.#resolveResult(end, head, body.finish(), dispatch);
           if (result.kind === 'answer') {
             context.chooser.recordResponse(serverId, nowMs - startedAtMs, nowMs);
           }
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -1,4 +1,5 @@
 import { StreamPace } from '@pollendrum/policy';
+import type { AnswerBuffer } from './answer-buffers';
 import type { ResponseHead, AttemptEnd, RunningAttempt } from './backend-attempt';
 import { computeOverdueAfterMs } from './request-dispatcher';
 import type { Dispatch, RequestDispatcher } from './request-dispatcher';
@@ -45,7 +46,8 @@
 /** Receives an event stream from one backend server. */
 export class StreamAttempt {
   private readonly splitter = new EventSplitter();
-  private readonly otherBodyChunks: Buffer[] = [];
+  /** Body of an answer that is no event stream. */
+  private otherBody: AnswerBuffer | undefined;
   private readonly pace: StreamPace;
   private paceTimer: NodeJS.Timeout | undefined;
   private readonly startedAtMs: number;
@@ -109,7 +111,7 @@
   #handleData(chunk: Buffer): boolean {
     const { dispatch, dispatcher, inactivityTimeoutMs, onEvents } = this.options;
     if (this.head === undefined || !this.#isStream()) {
-      this.otherBodyChunks.push(chunk);
+      this.#getOtherBody().add(chunk);
       return true;
     }
     if (!dispatch.placed.isStreaming) this.#recordFirstEvent();
@@ -156,6 +158,19 @@
     this.attempt?.resume();
   }
 
+  #getOtherBody(): AnswerBuffer {
+    if (this.otherBody !== undefined) return this.otherBody;
+    const { context, input } = this.options.exchange;
+    const body = context.answerBuffers.createBuffer((reason) => {
+      this.#failAttempt(reason);
+    });
+    input.response.once('close', () => {
+      body.release();
+    });
+    this.otherBody = body;
+    return body;
+  }
+
   #isStream(): boolean {
     const isSuccess =
       this.decoded?.kind === 'answer' && this.decoded.isSigned && this.decoded.status === OK;
@@ -205,6 +220,7 @@
     clearTimeout(this.inactivityTimer);
     clearTimeout(this.paceTimer);
     this.pauses.clear();
+    if (result.kind !== 'other-answer') this.otherBody?.release();
     this.settleRun(this.options.exchange.isEnded() ? { kind: 'ended' } : result);
   }
 
@@ -227,7 +243,7 @@
   #resolveProvenResult(head: ResponseHead): StreamAttemptResult {
     if (!this.#isStream()) {
       this.#observe('error');
-      return { kind: 'other-answer', head, body: Buffer.concat(this.otherBodyChunks) };
+      return { kind: 'other-answer', head, body: this.#getOtherBody().finish() };
     }
     const reason = this.#findBreak(head);
     if (reason !== undefined) {
