End unawaited answers of orders at their time limit

What was seen: 9 to 18 connections on which an instance reads answers without end for orders whose callers have left, for good.

Cause: a request that is not idempotent runs to its end at its server also when its caller leaves, and nothing ended that attempt any more.

Change: it ends at the time limit that the server was told; a server stops its work there. What arrives until then is dropped.

Measured: endless-answers.test.ts, 'a body in chunks' 18, 'of a huge length' 13, 'that nobody reads' 9 connections open at the end before, 0 now.

--- a/packages/gateway/src/plain-request-handler.ts
+++ b/packages/gateway/src/plain-request-handler.ts
@@ -38,6 +38,8 @@
   private mayHaveRun = false;
   /** 5xx response that is sent when no later attempt gets a better response. */
   private fallbackResponse: BufferedResponse | undefined;
+  /** Ends an attempt whose caller has left. */
+  private unawaitedTimer: NodeJS.Timeout | undefined;
   /** Number of attempts in which a server ran or may have run the request. */
   private runCount = 0;
 
@@ -63,11 +65,15 @@
     });
   }
 
-  /** Cancels the attempt unless the request is not idempotent; such a request runs to its end at the server. */
+  /**
+   * Cancels the attempt unless the request is not idempotent; such a request runs to its end at the server, or to its time
+   * limit.
+   */
   handleCallerDisconnect(): void {
     if (this.exchange.isEnded()) return;
     const mustFinish = this.exchange.input.route.kind === 'non-idempotent';
-    if (!mustFinish) this.attempt?.cancel('caller-left');
+    if (mustFinish) this.#scheduleUnawaitedEnd();
+    else this.attempt?.cancel('caller-left');
     this.exchange.finish({ kind: 'caller-left' });
   }
 
@@ -80,6 +86,13 @@
     else this.exchange.sendError(makeShutdownError(mayHaveRun));
   }
 
+  /** Ends the attempt at the time limit that the server was told, also when its answer goes on. */
+  #scheduleUnawaitedEnd(): void {
+    this.unawaitedTimer = setTimeout(() => {
+      this.attempt?.cancel('deadline');
+    }, this.exchange.getRemainingMs());
+  }
+
   #handleDeadline(): void {
     const mayHaveRun = this.mayHaveRun || this.attempt !== undefined;
     this.attempt?.cancel('deadline');
@@ -165,6 +178,7 @@
       let responseTimer = canRetry ? setTimeout(checkSilence, responseTimeoutMs) : undefined;
       const settle = (result: PlainAttemptResult) => {
         clearTimeout(responseTimer);
+        clearTimeout(this.unawaitedTimer);
         this.attempt = undefined;
         if (result.kind !== 'answer' && result.kind !== 'server-error') body.release();
         resolve(this.exchange.isEnded() ? { kind: 'ended' } : result);
