Bound what is kept of an engine's answers in the product's own dispatcher and entry

Cause: as in the gateway, answers were trusted to end: the body of an error answer and the status of a stream were read whole, an event of a stream had no largest size, and the chunks that are kept for a repetition had none together.

Change: an error body and a status are read up to 64 KiB, an event may have 1 MiB, and the chunks of a response 16 MiB; beyond that the stream counts as broken.

--- a/packages/router/src/backend/engine-client.ts
+++ b/packages/router/src/backend/engine-client.ts
@@ -1,12 +1,13 @@
 import type { Readable } from 'node:stream';
 import { BackendCallError, toBackendCallError } from './backend-errors';
+import { readLimitedText } from './limited-body';
 import type { ServerAddress, ServerPools } from './server-pools';
 
 /** Response of an engine to a streaming request. */
 export interface EngineResponse {
   status: number;
   headers: Record<string, string | string[] | undefined>;
-  body: Readable & { dump(): Promise<void>; text(): Promise<string> };
+  body: Readable & { dump(): Promise<void> };
 }
 
 /** Status of a stream as reported by the engine. */
@@ -18,6 +19,7 @@
 
 const STATUS_TIMEOUT_MS = 1_000;
 const MAX_STATUS_REQUESTS = 2;
+const MAX_STATUS_BYTES = 65_536;
 const CANCEL_TIMEOUT_MS = 2_000;
 
 /** HTTP client for the streaming protocol of the engines. */
@@ -103,7 +105,8 @@
         await response.body.dump();
         return { kind: 'unknown-stream' };
       }
-      const status = (await response.body.json()) as { offset: number; done: boolean };
+      const text = await readLimitedText(response.body, MAX_STATUS_BYTES);
+      const status = JSON.parse(text) as { offset: number; done: boolean };
       return { kind: 'known', offset: status.offset, done: status.done };
     } catch {
       return { kind: 'unreachable' };
--- a/packages/router/src/backend/stream-relay.ts
+++ b/packages/router/src/backend/stream-relay.ts
@@ -4,6 +4,7 @@
 import { BackendCallError, toBackendCallError } from './backend-errors';
 import { DONE_DATA, hasContent, hasFinishReason, isRoleOnly, replaceChunkId } from './chunks';
 import type { EngineClient, EngineResponse } from './engine-client';
+import { readLimitedText } from './limited-body';
 import type { ServerAddress } from './server-pools';
 import type { TokenMeter } from './token-meter';
 
@@ -72,6 +73,10 @@
 /** Time limit in milliseconds for the response body to end after [DONE]. */
 const BODY_END_TIMEOUT_MS = 1_000;
 const MAX_ERROR_BODY_BYTES = 65_536;
+/** Largest event of a stream, in characters. */
+const MAX_EVENT_LENGTH = 2 ** 20;
+/** Largest response of a stream, in characters of its chunks. */
+const MAX_RESPONSE_LENGTH = 16 * 2 ** 20;
 
 /**
  * Runs one attempt at an engine and relays its stream. When the connection breaks or is silent, the stream
@@ -96,6 +101,7 @@
   #isPaused = false;
   #hasReceivedFinishReason = false;
   #isDone = false;
+  #responseLength = 0;
 
   constructor(options: RelayOptions) {
     this.#options = options;
@@ -166,7 +172,7 @@
       return undefined;
     }
     const isNotRun = response.status === 503 && response.headers['x-not-run'] === 'true';
-    const text = await response.body.text().catch(() => '');
+    const text = await readLimitedText(response.body, MAX_ERROR_BODY_BYTES).catch(() => '');
     if (isNotRun) {
       const isDraining = response.headers['x-draining'] !== undefined;
       return { kind: 'not-run', status: response.status, isDraining };
@@ -174,7 +180,7 @@
     return {
       kind: 'error-status',
       status: response.status,
-      body: text.slice(0, MAX_ERROR_BODY_BYTES),
+      body: text,
       contentType: String(response.headers['content-type'] ?? 'application/json'),
     };
   }
@@ -182,6 +188,11 @@
   #startReading(response: EngineResponse): void {
     this.#response = response;
     const parser = createParser({
+      maxBufferSize: MAX_EVENT_LENGTH,
+      onError: (error) => {
+        if (error.type !== 'max-buffer-size-exceeded') return;
+        this.#cancelReading(response, new Error('an event of the stream is too large'));
+      },
       onEvent: (event) => {
         this.#handleStreamEvent(event, response);
       },
@@ -207,6 +218,11 @@
     parser.feed(text);
   }
 
+  #cancelReading(response: EngineResponse, error: Error): void {
+    this.#handleReadEnd(response, error);
+    response.body.destroy();
+  }
+
   #handleReadEnd(response: EngineResponse, error: Error): void {
     if (this.#response !== response) return;
     this.#response = undefined;
@@ -226,8 +242,7 @@
     if (offset !== undefined && this.#lastOffset !== undefined) {
       if (offset <= this.#lastOffset) return;
       if (offset > this.#lastOffset + 1) {
-        this.#handleReadEnd(response, new Error('the offsets of the stream have a gap'));
-        response.body.destroy();
+        this.#cancelReading(response, new Error('the offsets of the stream have a gap'));
         return;
       }
     }
@@ -241,6 +256,11 @@
     if (hasContent(data)) meter.observeToken(this.#lastActivityAtMs);
     if (hasFinishReason(data)) this.#hasReceivedFinishReason = true;
     delivered.push(data);
+    this.#responseLength += data.length;
+    if (this.#responseLength > MAX_RESPONSE_LENGTH) {
+      this.#cancelReading(response, new Error('the response is too large'));
+      return;
+    }
     if (sink.writeChunk(replaceChunkId(data, completionId))) return;
     if (this.#isPaused) return;
     this.#isPaused = true;
@@ -286,6 +306,7 @@
   async #handleBroken(error: BackendCallError): Promise<AttemptResult | undefined> {
     if (!error.isSent) return { kind: 'not-sent' };
     if (this.#hasReceivedFinishReason) return { kind: 'completed' };
+    if (this.#responseLength > MAX_RESPONSE_LENGTH) return { kind: 'lost' };
     const { engine, server, attemptId } = this.#options;
     const status = await engine.fetchStreamStatus(server, attemptId);
     switch (status.kind) {
