Leave no timer and no listeners behind when an attempt is given up

Found when the diff was read: an attempt that ended because of a malformed or too large event could start a pause of its reading afterwards, whose end starts the timer for silent streams, which starts itself again for good. And each attempt of a plain request left a listener at the response.

Change: nothing follows the end of such an attempt, and an attempt without an answer removes its listener.

--- a/packages/gateway/src/plain-request-handler.ts
+++ b/packages/gateway/src/plain-request-handler.ts
@@ -180,7 +180,10 @@
         clearTimeout(responseTimer);
         clearTimeout(this.unawaitedTimer);
         this.attempt = undefined;
-        if (result.kind !== 'answer' && result.kind !== 'server-error') body.release();
+        if (result.kind !== 'answer' && result.kind !== 'server-error') {
+          input.response.off('close', releaseBody);
+          releaseBody();
+        }
         resolve(this.exchange.isEnded() ? { kind: 'ended' } : result);
       };
       // Only the number of parts is paced; the bytes are bounded by the buffer.
@@ -191,9 +194,10 @@
         settle({ kind: 'may-have-run', reason });
       });
       // Also when nobody waits for the answer any more; what arrives then is dropped.
-      input.response.once('close', () => {
+      const releaseBody = () => {
         body.release();
-      });
+      };
+      input.response.once('close', releaseBody);
       const attempt = this.dispatcher.send(dispatch, undefined, {
         onResponse: (response) => {
           head = response;
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -127,9 +127,13 @@
       this.hasProgress = true;
       if (!onEvents(events, this.head)) this.pauses.add('caller');
     }
-    if (events.isMalformed) this.#failAttempt('the stream contains text that is not an event');
+    if (events.isMalformed) {
+      this.#failAttempt('the stream contains text that is not an event');
+      return true;
+    }
     if (this.splitter.isEventTooLarge()) {
       this.#failAttempt(`an event is larger than ${MAX_EVENT_BYTES} bytes`);
+      return true;
     }
     this.#startPacePause(chunk.length, events.lineCount);
     if (this.pauses.size === 0) return true;
