Read the store once for a fleet and hand on what was read

Cause: each instance read the configuration, the servers and the instances for itself, 2.5 to 2.6 calls a second each.

Change: a few instances, ranked by rendezvous hashing with the failure domains taking turns, watch the store; the others ask one of them every 600 ms by datagram for changes and for how recent its knowledge is. An instance counts the age from the time at which it sent its question, so that no clock and no delay makes it look more recent. Readers that are silent are left out, readers without contact are passed over, and an instance that gets no recent answer reads for itself, without delay if nobody answers and spread over the fleet if the others have no contact either. Changes carry the store's revisions, so that those of several readers form one sequence; a configuration travels as a patch against the one before. The watch of the configuration also shows that the list of servers is in sync, since its answer bears the store's revision. A process that was suspended no longer trusts the age of its keys.

--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -17,6 +17,7 @@
 import { ServerAvailability } from './server-availability';
 import type { LeavingSource } from './server-availability';
 import type { ServerChange, ServerRegistry } from './server-registry';
+import { StoreNews } from './store-news';
 import { INSTANCE_KIND } from './store-watchers';
 import type { TrafficMeter } from './traffic-meter';
 
@@ -33,6 +34,8 @@
   onLeaving(server: BackendServer, source: LeavingSource): void;
   /** Called when a peer reports a prompt that it sent to a server. */
   onPrompt(prompt: ReportedPrompt): void;
+  /** Checks whether the process was suspended. */
+  checkSuspension(): void;
 }
 
 /**
@@ -43,6 +46,7 @@
   readonly quarantine: RequestQuarantine;
   readonly limitSharing: LimitSharing;
   readonly availability: ServerAvailability;
+  readonly storeNews: StoreNews;
   private readonly removalSharing: RemovalSharing;
   private readonly socket: PeerSocket;
   private readonly gossip: FleetGossip;
@@ -72,6 +76,10 @@
         ...this.removalSharing.listFacts(),
       ],
     });
+    this.storeNews = new StoreNews({
+      ...{ instanceId, socket, clock, log, checkSuspension: options.checkSuspension },
+      getGraceLeftMs: (nowMs) => registry.getGraceLeftMs(nowMs),
+    });
     const publish: FleetGossip['publish'] = (key, build, urgency) => {
       this.gossip.publish(key, build, urgency);
     };
@@ -115,6 +123,7 @@
     this.loadReporter.setPeers(this.options.groups.selectMembers(instances));
     this.instanceWatch.setPeers(instances);
     this.gossip.setPeers(instances);
+    this.storeNews.setInstances(instances);
     this.limitSharing.setPeers(instances);
     this.quarantine.setInstances(instances.map(({ instanceId }) => instanceId));
   }
@@ -140,6 +149,7 @@
     await this.loadReporter[Symbol.asyncDispose]();
     await this.instanceWatch[Symbol.asyncDispose]();
     await this.gossip[Symbol.asyncDispose]();
+    await this.storeNews[Symbol.asyncDispose]();
     await this.archive[Symbol.asyncDispose]();
     await this.limitSharing[Symbol.asyncDispose]();
     await this.socket[Symbol.asyncDispose]();
--- a/packages/gateway/src/fleet-gossip.ts
+++ b/packages/gateway/src/fleet-gossip.ts
@@ -3,6 +3,7 @@
 import type { GossipFact } from './gossip-codec';
 import type { Clock, GatewayLog } from './log-and-clock';
 import type { PeerAddress, PeerSocket, SenderAddress } from './peer-socket';
+import { SuspensionDetector } from './suspension-detector';
 
 export interface FleetGossipOptions {
   instanceId: string;
@@ -32,8 +33,6 @@
 /** Instances that are asked at each `REPAIR_INTERVAL_MS` until one replies. */
 const ASKED_INSTANCES = 3;
 const MAX_QUESTIONS = 10;
-/** A difference between the times of two clocks from which the process must have been suspended, in milliseconds. */
-const MIN_SUSPENSION_MS = 1_000;
 
 /**
  * Spreads facts to all instances of the fleet, not only those of a group. News goes to random instances for a number of rounds
@@ -51,14 +50,15 @@
   private roundTimer: NodeJS.Timeout | undefined;
   private peers: readonly PeerAddress[] = [];
   private questionsLeft = MAX_QUESTIONS;
-  private suspensionClockMs = readSuspensionClock();
+  private readonly suspension = new SuspensionDetector();
 
   constructor(private readonly options: FleetGossipOptions) {
     options.socket.setHandler('gossip', (bytes, sender) => {
       this.#handleMessage(bytes, sender);
     });
     this.repairTimer = setInterval(() => {
-      this.#checkSuspension();
+      // A suspended process may have missed facts.
+      if (this.suspension.checkSuspension()) this.questionsLeft = MAX_QUESTIONS;
       this.#requestMissedFacts();
       this.#sendRepair();
     }, REPAIR_INTERVAL_MS);
@@ -122,15 +122,6 @@
     }, ROUND_INTERVAL_MS);
   }
 
-  /** A suspended process may have missed facts; its monotonic clock stands still meanwhile, the time of day does not. */
-  #checkSuspension(): void {
-    const clockMs = readSuspensionClock();
-    if (Math.abs(clockMs - this.suspensionClockMs) >= MIN_SUSPENSION_MS) {
-      this.questionsLeft = MAX_QUESTIONS;
-    }
-    this.suspensionClockMs = clockMs;
-  }
-
   #requestMissedFacts(): void {
     if (this.questionsLeft === 0 || this.peers.length === 0) return;
     this.questionsLeft -= 1;
@@ -241,8 +232,3 @@
 function computeRoundScale(instanceCount: number): number {
   return Math.ceil(instanceCount ** (1 / FANOUT));
 }
-
-/** Difference between the time of day and the monotonic clock, in milliseconds. */
-function readSuspensionClock(): number {
-  return Date.now() - performance.now();
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import { INSTANCE_KIND, StoreWatchers } from './store-watchers';
 import type { ObjectDecoders } from './store-watchers';
 import type { ObjectStore } from './object-store';
+import { SuspensionDetector } from './suspension-detector';
 import { TrafficLog } from './traffic-log';
 import type { TrafficMeter } from './traffic-meter';
 
@@ -58,6 +59,8 @@
 ] as const satisfies readonly (keyof GatewaySettings)[];
 /** Delay before a failed announcement is retried, in milliseconds. */
 const ANNOUNCE_RETRY_MS = 1_000;
+/** Longest time for which the watches wait for the first announcement, in milliseconds. */
+const MAX_ANNOUNCE_DELAY_MS = 200;
 const DEFAULT_READINESS_PATH = '/readyz';
 /**
  * Share of `retrySlack`, the retries allowed regardless of the retry ratio, that all instances together use. The rest
@@ -92,6 +95,7 @@
   private readonly storeWatchers: StoreWatchers;
   private readonly callerServer: ReturnType<typeof createCallerServer>;
   private readonly speeds = new SpeedTracker();
+  private readonly suspension = new SuspensionDetector();
   private readonly deferredRemovalTimer: NodeJS.Timeout;
   private readonly trafficLog: TrafficLog;
   private readonly httpServers: Server[] = [];
@@ -108,8 +112,12 @@
     const groups = new InstanceGroups(settings.instanceId);
     const countInstances = () => Math.max(1, this.storeWatchers.countInstances());
     const { speeds } = this;
+    const checkSuspension = () => {
+      if (this.suspension.checkSuspension()) this.#handleSuspension();
+    };
     this.fleetExchange = new FleetExchange({
       ...{ settings, store: options.store, registry, loads, groups, traffic, clock, log },
+      checkSuspension,
       onPrompt: (prompt) => {
         this.#handlePeerPrompt(prompt);
       },
@@ -130,7 +138,7 @@
       metrics,
       traffic,
       registry,
-      keyFreshness: new KeyFreshness(settings),
+      keyFreshness: new KeyFreshness(settings, checkSuspension),
       loads,
       prefixes,
       failures,
@@ -191,6 +199,7 @@
     this.storeWatchers = new StoreWatchers({
       ...{ store: options.store, decoders: options.decoders, log, clock, registry },
       keyFreshness: this.context.keyFreshness,
+      ...{ news: this.fleetExchange.storeNews, checkSuspension },
       onBundle: (bundle, revision) => {
         this.#applyBundle(bundle, revision);
       },
@@ -222,9 +231,10 @@
     if (settings.metricsAddress !== undefined) {
       await this.#openPort(createMetricsServer(this.context), settings.metricsAddress);
     }
+    // An instance that finds itself among the announced ones knows whether it is to read the store.
+    await Promise.race([this.#announce(), sleep(MAX_ANNOUNCE_DELAY_MS)]);
     this.storeWatchers.start();
     this.fleetExchange.start();
-    void this.#announce();
     log.info('gateway started', {
       failureDomain: settings.failureDomain,
       callerAddress: settings.callerAddress,
@@ -336,7 +346,8 @@
 
   async #announce(): Promise<void> {
     const { settings, store, log } = this.options;
-    const spec = { address: settings.address, port: settings.peerPort, isWatchable: true };
+    const { address, peerPort: port, failureDomain } = settings;
+    const spec = { address, port, failureDomain, isWatchable: true, isReaderCandidate: true };
     while (!this.isDraining) {
       try {
         await store.putObject(INSTANCE_KIND, settings.instanceId, spec);
@@ -362,6 +373,11 @@
     });
   }
 
+  #handleSuspension(): void {
+    this.options.log.warn('the process was suspended or the time of day was set');
+    this.storeWatchers.discardSync();
+  }
+
   #handleLeaving({ serverId, service }: BackendServer, source: LeavingSource): void {
     this.options.log.info('backend server leaves', {
       ...{ serverId, service, source: source.kind },
--- a/packages/gateway/src/key-freshness.ts
+++ b/packages/gateway/src/key-freshness.ts
@@ -7,12 +7,10 @@
 const FORWARDING_MARGIN_MS = 250;
 
 /**
- * Longest wait of the watch that receives team keys, in milliseconds. When an outage of the store begins, the keys
- * are up to one wait old, so with a shorter wait they are accepted for longer; but each wait costs one call to the
- * store. With a wait of 1 s and a `keyRevocationMs` of 5 s, keys are accepted for at least the first 2.75 s of an
- * outage.
+ * Longest wait of the watches for team keys and for servers, in milliseconds. What an instance knows is up to one wait older when
+ * an outage of the store begins, and what others know from it as well; but each wait costs a call to the store.
  */
-export const KEY_WATCH_WAIT_MS = 1_000;
+export const KEY_WATCH_WAIT_MS = 600;
 
 /** Options are read at each use, so that a settings reload takes effect. */
 export interface KeyFreshnessOptions {
@@ -26,19 +24,29 @@
 export class KeyFreshness {
   private syncedAtMs = -Infinity;
 
-  constructor(private readonly options: KeyFreshnessOptions) {}
+  /** @param checkSuspension calls `discardSync` if the process was suspended; does nothing by default */
+  constructor(
+    private readonly options: KeyFreshnessOptions,
+    private readonly checkSuspension: () => void = () => undefined,
+  ) {}
 
   /** Records a sync: all changes that were available to a watch at this time have been received. */
   recordSync(syncedAtMs: number): void {
     this.syncedAtMs = Math.max(this.syncedAtMs, syncedAtMs);
   }
 
+  /** Takes in that the process was suspended, so that the age of the keys is not known any more. */
+  discardSync(): void {
+    this.syncedAtMs = -Infinity;
+  }
+
   getAgeMs(nowMs: number): number {
     return nowMs - this.syncedAtMs;
   }
 
   /** Whether the known keys are recent enough to accept or reject requests with them. */
   isFresh(nowMs: number): boolean {
+    this.checkSuspension();
     if (!this.options.isKeyRevocationStrict) return this.syncedAtMs > -Infinity;
     return (
       this.getAgeMs(nowMs) <
--- a/packages/gateway/src/object-store.ts
+++ b/packages/gateway/src/object-store.ts
@@ -5,8 +5,18 @@
   spec: unknown;
 }
 
-export type ObjectChange =
-  { kind: 'put'; object: StoredObject } | { kind: 'deleted'; name: string; revision: number };
+export type ObjectChange = { kind: 'put'; object: StoredObject } | DeletedChange;
+
+export interface DeletedChange {
+  kind: 'deleted';
+  name: string;
+  revision: number;
+  /**
+   * Time of the monotonic clock until which the instance that has read the change defers removals, since the object may have
+   * lapsed in an outage that only this instance has seen.
+   */
+  graceEndsAtMs?: number;
+}
 
 /** All objects of a kind at one revision of the store. */
 export interface ObjectListing {
@@ -19,10 +29,21 @@
   | { kind: 'changes'; changes: readonly ObjectChange[]; revision: number }
   | { kind: 'history-lost' };
 
+/** `latest`: the objects as they are; `any`: as they were at some earlier time, which costs the store less. */
+export type ListingConsistency = 'latest' | 'any';
+
 /** Object store of the platform. Calls reject when no response arrives or the store returns an error. */
 export interface ObjectStore extends AsyncDisposable {
-  /** Lists all objects of a kind; rejects when the signal aborts the call. */
-  listObjects(kind: string, signal?: AbortSignal): Promise<ObjectListing>;
+  /**
+   * Lists all objects of a kind; rejects when the signal aborts the call.
+   *
+   * @param consistency `latest` by default
+   */
+  listObjects(
+    kind: string,
+    signal?: AbortSignal,
+    consistency?: ListingConsistency,
+  ): Promise<ObjectListing>;
   /**
    * Resolves with the changes after a revision; waits at most `waitMs` for the first one. Rejects when the signal aborts the
    * call.
--- a/packages/gateway/src/peer-socket.ts
+++ b/packages/gateway/src/peer-socket.ts
@@ -14,6 +14,10 @@
    * versions.
    */
   isWatchable?: boolean;
+  /** Whether the instance answers questions about the store. Missing in announcements of older versions. */
+  isReaderCandidate?: boolean;
+  /** Missing in announcements of older versions. */
+  failureDomain?: string;
 }
 
 export type SenderAddress = Pick<PeerAddress, 'address' | 'port'>;
@@ -31,7 +35,7 @@
 }
 
 /** What a datagram carries. */
-export type DatagramKind = 'load-report' | 'gossip' | 'send-counts';
+export type DatagramKind = 'load-report' | 'gossip' | 'send-counts' | 'store';
 type DatagramHandler = (bytes: Buffer, sender: SenderAddress) => void;
 
 export interface PeerSocketOptions {
@@ -43,6 +47,7 @@
 
 /** First byte of each kind of datagram: the kinds are CBOR arrays of different numbers of items. */
 const KIND_BY_FIRST_BYTE: ReadonlyMap<number | undefined, DatagramKind> = new Map([
+  [0x82, 'store'],
   [0x83, 'gossip'],
   [0x84, 'send-counts'],
   [0x85, 'load-report'],
--- /dev/null
+++ b/packages/gateway/src/store-news.ts
@@ -0,0 +1,446 @@
+import { ReaderContact } from '@pollendrum/policy';
+import type { SharedChange } from './change-log';
+import type { NewsResult } from './kind-watcher';
+import type { Clock, GatewayLog } from './log-and-clock';
+import type { PeerAddress, PeerSocket, SenderAddress } from './peer-socket';
+import { decodeStoreMessage, encodeStoreMessage, splitNews } from './store-message-codec';
+import type { KindNews, KindPosition, StoreMessageContent } from './store-message-codec';
+
+/** What is shared of the objects of one kind. */
+export interface SharedKind {
+  kind: string;
+  /** Age of the objects from which the instance reads them from the store itself, in milliseconds. */
+  maxAgeMs: number;
+  watcher: {
+    getPosition(): number | undefined;
+    getAgeMs(nowMs: number): number;
+    listChangesSince(revision: number): readonly SharedChange[] | undefined;
+    applyNews(
+      news: KindNews,
+      syncedAtMs: number | undefined,
+      graceEndsAtMs: number | undefined,
+    ): NewsResult;
+    checkFollowing(): void;
+    readNow(): void;
+  };
+}
+
+export interface StoreNewsOptions {
+  instanceId: string;
+  socket: Pick<PeerSocket, 'setHandler' | 'send'>;
+  clock: Clock;
+  log: GatewayLog;
+  /** Time for which removals of servers are still deferred after an outage of the store, in milliseconds. */
+  getGraceLeftMs(nowMs: number): number;
+  /** Checks whether the process was suspended, in which case it no longer knows how old its objects are. */
+  checkSuspension(): void;
+}
+
+/** Interval at which an instance asks a reader, in milliseconds. */
+const ASK_INTERVAL_MS = 600;
+/** Time without an answer after which other instances are asked, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 250;
+/** Time after the start for which an instance waits for news before it reads from the store itself, in milliseconds. */
+const FIRST_NEWS_TIMEOUT_MS = 300;
+/** Attempts to get an answer, after which the instance waits for the next interval. */
+const MAX_ATTEMPTS = 3;
+/** Instances that are asked at the same time when the first one has not answered. */
+const RETRY_FANOUT = 3;
+/** Age up to which the objects of an instance are recent, in milliseconds. A reader's watches end within less. */
+const MAX_RECENT_AGE_MS = 800;
+/** Time after an outdated answer for which the readers count as without contact with the store, in milliseconds. */
+const OUTAGE_FOR_MS = 1_500;
+const MAX_READ_DELAY_MS = 10_000;
+/** Time after its last question for which an instance is told changes, in milliseconds. */
+const TOLD_FOR_MS = 3_000;
+/** Shortest interval at which changes are told, in milliseconds. */
+const MIN_TELL_INTERVAL_MS = 100;
+const MAX_TOLD_INSTANCES = 512;
+
+/** A question, with several receivers in later attempts. */
+interface Question {
+  askedAtMs: number;
+  asked: readonly string[];
+  isAnswered: boolean;
+}
+
+/** An instance that asks this one. */
+interface Follower {
+  sender: SenderAddress;
+  askedAtMs: number;
+  /** Revision up to which it knows or has been told the changes, by kind. */
+  positions: Map<string, number>;
+}
+
+/**
+ * Shares what is read from the store, so that the number of calls does not grow with the fleet: a few instances read it, the
+ * others ask them. Knowledge is as recent as the moment of the store that it comes from: an instance counts its age from the time
+ * at which it sent its question, so that neither clocks nor delays on the way make it look more recent than it is. An instance
+ * that gets no recent answers reads for itself.
+ */
+export class StoreNews implements AsyncDisposable {
+  private readonly contact: ReaderContact;
+  private readonly followers = new Map<string, Follower>();
+  private kinds: readonly SharedKind[] = [];
+  private addresses = new Map<string, SenderAddress>();
+  /** Questions of the present round by number; the newest last. */
+  private round = new Map<number, Question>();
+  private lastQuestionId = 0;
+  private nextAskAtMs = -Infinity;
+  /** Time until which the first news is waited for. */
+  private expectedUntilMs = -Infinity;
+  private outdatedAtMs = -Infinity;
+  private timer: NodeJS.Timeout | undefined;
+  private tellTimer: NodeJS.Timeout | undefined;
+  private toldAtMs = -Infinity;
+  private isDisposed = false;
+
+  constructor(private readonly options: StoreNewsOptions) {
+    this.contact = new ReaderContact(options.instanceId);
+    options.socket.setHandler('store', (bytes, sender) => {
+      this.#handleMessage(bytes, sender);
+    });
+  }
+
+  /** Sets what is shared and begins to ask. */
+  start(kinds: readonly SharedKind[]): void {
+    this.kinds = kinds;
+    this.#advance();
+  }
+
+  /** Takes in the announced instances. */
+  setInstances(instances: readonly PeerAddress[]): void {
+    const isFirst = this.addresses.size === 0;
+    const candidates = instances.filter((instance) => instance.isReaderCandidate === true);
+    this.addresses = new Map(candidates.map((candidate) => [candidate.instanceId, candidate]));
+    this.contact.setCandidates(
+      candidates.map(({ instanceId, failureDomain }) => ({ instanceId, failureDomain })),
+    );
+    if (isFirst && candidates.length > 0) {
+      this.expectedUntilMs = this.options.clock() + FIRST_NEWS_TIMEOUT_MS;
+      this.requestNews();
+    }
+    this.#advance();
+  }
+
+  /** Whether the objects of a kind are kept up to date by the news of others, so that this instance need not read them. */
+  isFollowing(kind: string): boolean {
+    const nowMs = this.options.clock();
+    const shared = this.kinds.find((candidate) => candidate.kind === kind);
+    if (shared === undefined || this.contact.isReader(nowMs)) return false;
+    return nowMs < this.expectedUntilMs || shared.watcher.getAgeMs(nowMs) <= shared.maxAgeMs;
+  }
+
+  /**
+   * Computes for how long this instance waits before it reads a kind from the store itself, in milliseconds. It does not wait if
+   * nobody answers it. While the others answer that they have no contact, few instances find out whether the store is back, and
+   * only with the first kind.
+   */
+  computeReadDelayMs(kind: string): number {
+    if (!this.isInOutage()) return 0;
+    const nowMs = this.options.clock();
+    const [first] = this.kinds;
+    if (first === undefined || first.kind === kind) {
+      return this.contact.computeProbeDelayMs(Math.random());
+    }
+    return first.watcher.getAgeMs(nowMs) <= first.maxAgeMs ? 0 : MAX_READ_DELAY_MS;
+  }
+
+  /** Whether this instance asks others and these answer that they have no contact with the store. */
+  isInOutage(): boolean {
+    const nowMs = this.options.clock();
+    return nowMs - this.outdatedAtMs <= OUTAGE_FOR_MS && !this.contact.isReader(nowMs);
+  }
+
+  /** Whether this instance reads the store for others. */
+  isReader(): boolean {
+    return this.contact.isReader(this.options.clock());
+  }
+
+  /** Asks at once, since the objects have just been listed or may be out of date. */
+  requestNews(): void {
+    this.round.clear();
+    this.nextAskAtMs = -Infinity;
+    this.#advance();
+  }
+
+  /** Tells changes that have been taken in to the instances that ask this one; those of a short time at once. */
+  reportChanges(): void {
+    if (this.tellTimer !== undefined || this.followers.size === 0) return;
+    const waitMs = this.toldAtMs + MIN_TELL_INTERVAL_MS - this.options.clock();
+    if (waitMs <= 0) {
+      this.#reportToFollowers();
+      return;
+    }
+    this.tellTimer = setTimeout(() => {
+      this.tellTimer = undefined;
+      this.#reportToFollowers();
+    }, waitMs);
+  }
+
+  /** Tells the instances that ask this one that it has contact with the store again. */
+  reportContact(): void {
+    const nowMs = this.options.clock();
+    for (const follower of this.followers.values()) this.#sendNews(0, follower, nowMs, false);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.isDisposed = true;
+    clearTimeout(this.timer);
+    clearTimeout(this.tellTimer);
+    await Promise.resolve();
+  }
+
+  #reportToFollowers(): void {
+    const nowMs = this.options.clock();
+    this.toldAtMs = nowMs;
+    for (const [instanceId, follower] of this.followers) {
+      if (nowMs - follower.askedAtMs > TOLD_FOR_MS) this.followers.delete(instanceId);
+      else this.#sendNews(0, follower, nowMs, true);
+    }
+  }
+
+  /** Asks when it is time to, gives up questions without an answer, and sets the timer for the next step. */
+  #advance(): void {
+    if (this.isDisposed || this.kinds.length === 0) return;
+    this.options.checkSuspension();
+    const nowMs = this.options.clock();
+    const newest = [...this.round.values()].at(-1);
+    if (newest === undefined) {
+      if (nowMs >= this.nextAskAtMs) this.#requestIfNeeded(nowMs);
+    } else if (nowMs - newest.askedAtMs >= ANSWER_TIMEOUT_MS) {
+      this.#handleSilence(newest, nowMs);
+    }
+    for (const { watcher } of this.kinds) watcher.checkFollowing();
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    const newest = [...this.round.values()].at(-1);
+    const dueAtMs = newest === undefined ? this.nextAskAtMs : newest.askedAtMs + ANSWER_TIMEOUT_MS;
+    clearTimeout(this.timer);
+    this.timer = setTimeout(
+      () => {
+        this.#advance();
+      },
+      Math.max(1, dueAtMs - this.options.clock()),
+    );
+  }
+
+  #requestIfNeeded(nowMs: number): void {
+    this.nextAskAtMs = nowMs + ASK_INTERVAL_MS;
+    // Before a listing there is nothing that news could add to.
+    if (this.kinds.some(({ watcher }) => watcher.getPosition() === undefined)) return;
+    if (this.contact.isReader(nowMs) && this.#isRecent(nowMs)) return;
+    const preferred = this.contact.choosePreferred(nowMs);
+    if (preferred !== undefined) this.#sendQuestion([preferred], nowMs);
+  }
+
+  #handleSilence({ asked, isAnswered }: Question, nowMs: number): void {
+    if (!isAnswered) {
+      for (const instanceId of asked) this.contact.recordSilence(instanceId, nowMs);
+    }
+    // Answers that are outdated show an outage of the store, which more questions do not end.
+    if (isAnswered || this.round.size === MAX_ATTEMPTS) this.round.clear();
+    else this.#requestOthers(nowMs, RETRY_FANOUT);
+  }
+
+  #requestOthers(nowMs: number, count: number): void {
+    const asked = [...this.round.values()].flatMap((question) => question.asked);
+    this.#sendQuestion(this.contact.chooseOthers(nowMs, asked, count), nowMs);
+  }
+
+  #sendQuestion(asked: readonly string[], nowMs: number): void {
+    const receivers = asked.flatMap((instanceId) => this.addresses.get(instanceId) ?? []);
+    if (receivers.length === 0) {
+      this.round.clear();
+      return;
+    }
+    this.lastQuestionId += 1;
+    const questionId = this.lastQuestionId;
+    this.round.set(questionId, { askedAtMs: nowMs, asked, isAnswered: false });
+    const positions = this.kinds.flatMap(({ kind, watcher }) => {
+      const revision = watcher.getPosition();
+      return revision === undefined ? [] : [{ kind, revision, ageMs: getAge(watcher, nowMs) }];
+    });
+    const { instanceId } = this.options;
+    this.#send({ kind: 'question', questionId, instanceId, positions }, receivers);
+  }
+
+  #handleMessage(bytes: Buffer, sender: SenderAddress): void {
+    const decoded = decodeStoreMessage(bytes);
+    if (decoded.kind === 'invalid') {
+      this.options.log.warn('received an invalid datagram', { reason: decoded.reason });
+      return;
+    }
+    const { message } = decoded;
+    this.options.checkSuspension();
+    switch (message.kind) {
+      case 'question':
+        this.#handleQuestion(message, sender);
+        return;
+      case 'news':
+        this.#handleNews(message);
+        return;
+    }
+  }
+
+  #handleQuestion(
+    { questionId, instanceId, positions }: StoreMessageContent & { kind: 'question' },
+    sender: SenderAddress,
+  ): void {
+    const nowMs = this.options.clock();
+    const follower = {
+      sender,
+      askedAtMs: nowMs,
+      positions: new Map(positions.map(({ kind, revision }) => [kind, revision])),
+    };
+    this.followers.delete(instanceId);
+    this.followers.set(instanceId, follower);
+    const [oldest] = this.followers.keys();
+    if (oldest !== undefined && this.followers.size > MAX_TOLD_INSTANCES) {
+      this.followers.delete(oldest);
+    }
+    this.#sendNews(questionId, follower, nowMs, false);
+    if (!this.#isRecent(nowMs) && this.#isNewer(positions)) this.#requestFrom(instanceId, nowMs);
+  }
+
+  /** Asks an instance that has contact with the store while this one has not. */
+  #requestFrom(instanceId: string, nowMs: number): void {
+    const isAsked = [...this.round.values()].some(({ asked }) => asked.includes(instanceId));
+    if (!isAsked) this.#sendQuestion([instanceId], nowMs);
+  }
+
+  #isNewer(positions: readonly KindPosition[]): boolean {
+    return this.kinds.every(({ kind, maxAgeMs }) => {
+      if (!Number.isFinite(maxAgeMs)) return true;
+      const position = positions.find((candidate) => candidate.kind === kind);
+      return position?.ageMs !== undefined && position.ageMs <= MAX_RECENT_AGE_MS;
+    });
+  }
+
+  #sendNews(questionId: number, follower: Follower, nowMs: number, onlyChanges: boolean): void {
+    const news = this.kinds.flatMap(({ kind, watcher }): KindNews[] => {
+      const fromRevision = follower.positions.get(kind);
+      const toRevision = watcher.getPosition();
+      if (fromRevision === undefined || toRevision === undefined) return [];
+      const changes = watcher.listChangesSince(fromRevision);
+      if (onlyChanges && changes?.length === 0) return [];
+      follower.positions.set(kind, Math.max(fromRevision, toRevision));
+      const ageMs = changes === undefined ? undefined : getAge(watcher, nowMs);
+      return [{ kind, fromRevision, toRevision, changes, ageMs }];
+    });
+    if (onlyChanges && news.length === 0) return;
+    const graceLeftMs = Math.round(this.options.getGraceLeftMs(nowMs));
+    const { instanceId } = this.options;
+    const parts = news.length === 0 ? [[]] : splitNews(news);
+    for (const part of parts) {
+      const message = { kind: 'news', questionId, instanceId, graceLeftMs, news: part } as const;
+      this.#send(message, [follower.sender]);
+    }
+  }
+
+  #handleNews({
+    questionId,
+    instanceId,
+    graceLeftMs,
+    news,
+  }: StoreMessageContent & { kind: 'news' }): void {
+    const question = this.round.get(questionId);
+    const isAsked = question?.asked.includes(instanceId) === true;
+    if (!isAsked && !this.addresses.has(instanceId)) return;
+    const nowMs = this.options.clock();
+    const graceEndsAtMs = graceLeftMs > 0 ? nowMs + graceLeftMs : undefined;
+    const ages = news.map((kindNews) =>
+      this.#applyKindNews(kindNews, question?.askedAtMs, graceEndsAtMs),
+    );
+    this.reportChanges();
+    if (question === undefined || !isAsked) {
+      if (this.isInOutage() && isRecentNews(ages)) this.requestNews();
+      return;
+    }
+    question.isAnswered = true;
+    this.#judgeAnswer(instanceId, ages, nowMs);
+  }
+
+  /**
+   * Takes in the news of a kind.
+   *
+   * @returns how old the objects of the sender were; undefined if it has not said so
+   */
+  #applyKindNews(
+    news: KindNews,
+    askedAtMs: number | undefined,
+    graceEndsAtMs: number | undefined,
+  ): number | undefined {
+    const shared = this.kinds.find(({ kind }) => kind === news.kind);
+    if (shared === undefined) return undefined;
+    const { ageMs } = news;
+    const isDated = askedAtMs !== undefined && ageMs !== undefined;
+    const syncedAtMs = isDated ? askedAtMs - ageMs : undefined;
+    const result = shared.watcher.applyNews(news, syncedAtMs, graceEndsAtMs);
+    switch (result) {
+      case 'applied':
+        break;
+      case 'not-listed':
+        break;
+      case 'unavailable':
+        shared.watcher.readNow();
+        break;
+      case 'gap':
+        // Told changes may overtake each other or be lost; the answer to the next question has them.
+        if (askedAtMs === undefined) this.nextAskAtMs = -Infinity;
+        break;
+    }
+    return Number.isFinite(shared.maxAgeMs) ? ageMs : undefined;
+  }
+
+  /** Judges what a message says of all kinds; one of several messages may say nothing. */
+  #judgeAnswer(instanceId: string, ages: readonly (number | undefined)[], nowMs: number): void {
+    const isRecent = isRecentNews(ages);
+    const isOutdated = ages.length === 0 || ages.some((ageMs = 0) => ageMs > MAX_RECENT_AGE_MS);
+    if (isOutdated) {
+      this.outdatedAtMs = nowMs;
+      this.#readLostKinds(nowMs);
+      this.contact.recordAnswer(instanceId, 'outdated', nowMs);
+    }
+    if (isRecent) this.contact.recordAnswer(instanceId, 'recent', nowMs);
+    if (this.#isRecent(nowMs)) this.round.clear();
+    else if (isOutdated && this.round.size === 1) this.#requestOthers(nowMs, 1);
+    this.#advance();
+  }
+
+  /**
+   * Reads the kinds from the store about which the others have had no answer, if they have contact otherwise, since only the calls
+   * about these are lost.
+   */
+  #readLostKinds(nowMs: number): void {
+    const dated = this.kinds.filter(({ maxAgeMs }) => Number.isFinite(maxAgeMs));
+    const lost = dated.filter(({ watcher }) => watcher.getAgeMs(nowMs) > MAX_RECENT_AGE_MS);
+    if (lost.length === dated.length) return;
+    for (const { watcher } of lost) watcher.readNow();
+  }
+
+  #isRecent(nowMs: number): boolean {
+    return this.kinds.every(
+      ({ maxAgeMs, watcher }) =>
+        !Number.isFinite(maxAgeMs) || watcher.getAgeMs(nowMs) <= MAX_RECENT_AGE_MS,
+    );
+  }
+
+  #send(message: StoreMessageContent, receivers: readonly SenderAddress[]): void {
+    this.options.socket.send(encodeStoreMessage(message), receivers);
+  }
+}
+
+/** Age of the objects of a kind in milliseconds; undefined if they are not known to be complete. */
+function getAge(watcher: SharedKind['watcher'], nowMs: number): number | undefined {
+  const ageMs = watcher.getAgeMs(nowMs);
+  return Number.isFinite(ageMs) ? ageMs : undefined;
+}
+
+/** Whether news says that the objects of its sender are recent. */
+function isRecentNews(ages: readonly (number | undefined)[]): boolean {
+  const known = ages.filter((ageMs) => ageMs !== undefined);
+  return known.length > 0 && known.every((ageMs) => ageMs <= MAX_RECENT_AGE_MS);
+}
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -10,6 +10,7 @@
 import type { PeerAddress } from './peer-socket';
 import type { Clock, GatewayLog } from './log-and-clock';
 import type { ServerEntry, ServerRegistry } from './server-registry';
+import type { StoreNews } from './store-news';
 import type { ObjectChange, ObjectStore, StoredObject } from './object-store';
 
 /** Decodes the platform's stored objects into the gateway's types. */
@@ -28,6 +29,10 @@
   clock: Clock;
   registry: ServerRegistry;
   keyFreshness: KeyFreshness;
+  /** Shares what is read with other instances. */
+  news: StoreNews;
+  /** Checks whether the process was suspended; `discardSync` must be called if it was. */
+  checkSuspension(): void;
   /** Called with each valid bundle, possibly several times with the same version. */
   onBundle(bundle: RouteBundle, revision: number): void;
   /** Called when the servers or the configuration are read again after an outage. */
@@ -39,10 +44,22 @@
 /** Object kind under which instances announce the address at which they receive load reports. */
 export const INSTANCE_KIND = 'instances';
 /**
- * Longest wait of the watch for instances, in milliseconds. A late change only makes placement, connection shares and
- * the retry budget less accurate.
+ * Longest wait of the watches for servers and instances, in milliseconds. The watch for the configuration shows at each of its
+ * answers whether the store has changes that the watch for servers has not delivered.
  */
-const INSTANCE_WATCH_WAIT_MS = 15_000;
+const LONG_WAIT_MS = 15_000;
+/** Longest time for which the other watches wait for the list of instances, in milliseconds. */
+const MAX_START_DELAY_MS = 200;
+/**
+ * Age from which the configuration or the servers are read from the store although others are asked, in milliseconds. It leaves
+ * time for a call within 2 s, the shortest time in which instances must apply changes.
+ */
+const MAX_FOLLOWED_AGE_MS = 1_600;
+/** Longest interval between failed calls of an instance that does not read for others, in milliseconds. */
+const FOLLOWER_RETRY_INTERVAL_MS = 1_200;
+const READER_RETRY_INTERVAL_MS = 400;
+/** Longest interval between failed calls about instances, of which a late change does little harm, in milliseconds. */
+const INSTANCE_RETRY_INTERVAL_MS = 5_000;
 
 /**
  * Age from which a list of servers that is not in sync is too old, in milliseconds. Requests must not reach a server later than
@@ -54,19 +71,40 @@
 export class StoreWatchers implements AsyncDisposable {
   private readonly bundleWatcher: KindWatcher;
   private readonly serverWatcher: KindWatcher;
+  private readonly instanceWatcher: KindWatcher;
   private readonly watchers: readonly KindWatcher[];
   private readonly instances = new Map<string, PeerAddress>();
+  private startTimer: NodeJS.Timeout | undefined;
   /** Called when the list of servers has been read again. */
   private readonly listWaiters = new Set<() => void>();
 
   constructor(private readonly options: StoreWatchersOptions) {
     this.bundleWatcher = this.#createBundleWatcher();
     this.serverWatcher = this.#createServerWatcher();
-    this.watchers = [this.bundleWatcher, this.serverWatcher, this.#createInstanceWatcher()];
+    this.instanceWatcher = this.#createInstanceWatcher();
+    this.watchers = [this.bundleWatcher, this.serverWatcher, this.instanceWatcher];
   }
 
+  /** Starts with the instances, since the others are read from the store or from another instance depending on them. */
   start(): void {
-    for (const watcher of this.watchers) watcher.start();
+    const { news, decoders } = this.options;
+    this.instanceWatcher.start();
+    this.startTimer = setTimeout(() => {
+      this.#startOthers();
+    }, MAX_START_DELAY_MS);
+    const maxAgeMs = MAX_FOLLOWED_AGE_MS;
+    news.start([
+      { kind: decoders.bundleKind, watcher: this.bundleWatcher, maxAgeMs },
+      { kind: decoders.serverKind, watcher: this.serverWatcher, maxAgeMs },
+      { kind: INSTANCE_KIND, watcher: this.instanceWatcher, maxAgeMs: Infinity },
+    ]);
+  }
+
+  /** Takes in that the process was suspended, so that the age of what was read is not known any more. */
+  discardSync(): void {
+    this.options.keyFreshness.discardSync();
+    for (const watcher of this.watchers) watcher.discardSync();
+    this.options.news.requestNews();
   }
 
   countInstances(): number {
@@ -101,28 +139,42 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    clearTimeout(this.startTimer);
     for (const watcher of this.watchers) await watcher[Symbol.asyncDispose]();
   }
 
+  #startOthers(): void {
+    clearTimeout(this.startTimer);
+    this.bundleWatcher.start();
+    this.serverWatcher.start();
+  }
+
   #createBundleWatcher(): KindWatcher {
-    const { store, log, clock, decoders, keyFreshness, registry } = this.options;
+    const { store, log, clock, decoders, keyFreshness, registry, news } = this.options;
     return new KindWatcher({
       ...{ store, log, clock, kind: decoders.bundleKind, waitMs: KEY_WATCH_WAIT_MS },
+      ...{ ...this.#makeSharing(decoders.bundleKind), firstListing: 'any' },
       onListing: ({ objects }) => {
         for (const object of objects) this.#handleBundleObject(object);
       },
       onChange: (change) => {
         if (change.kind === 'put') this.#handleBundleObject(change.object);
       },
-      onSync: (syncedAtMs) => {
+      onSync: (syncedAtMs, revision) => {
         keyFreshness.recordSync(syncedAtMs);
+        if (revision !== undefined) this.serverWatcher.observeRevision(revision, syncedAtMs);
       },
       onOutage: (untilMs) => {
         registry.recordOutage(untilMs);
       },
       onContactChange: (change) => {
-        refreshOther(this.serverWatcher, change, clock());
-        if (change.kind === 'regained') this.options.onRegain();
+        this.#refreshOther(this.serverWatcher, change);
+        if (change.kind === 'lost') return;
+        this.options.onRegain();
+        // The answer counts as a sync only after this call.
+        queueMicrotask(() => {
+          news.reportContact();
+        });
       },
     });
   }
@@ -130,7 +182,9 @@
   #createServerWatcher(): KindWatcher {
     const { store, log, clock, decoders, registry } = this.options;
     return new KindWatcher({
-      ...{ store, log, clock, kind: decoders.serverKind },
+      ...{ store, log, clock, kind: decoders.serverKind, waitMs: LONG_WAIT_MS },
+      ...{ ...this.#makeSharing(decoders.serverKind), firstListing: 'any' },
+      waitAfterChangesMs: LONG_WAIT_MS,
       onListing: ({ objects, revision }) => {
         const entries = objects.map((object) => this.#decodeServer(object));
         registry.replaceAll(
@@ -149,7 +203,7 @@
         for (const settle of this.listWaiters) settle();
       },
       onContactChange: (change) => {
-        refreshOther(this.bundleWatcher, change, clock());
+        this.#refreshOther(this.bundleWatcher, change);
         if (change.kind === 'regained') this.options.onRegain();
       },
     });
@@ -158,11 +212,13 @@
   #createInstanceWatcher(): KindWatcher {
     const { store, log, clock, onInstances } = this.options;
     return new KindWatcher({
-      ...{ store, log, clock, kind: INSTANCE_KIND, waitMs: INSTANCE_WATCH_WAIT_MS },
+      ...{ store, log, clock, kind: INSTANCE_KIND, waitMs: LONG_WAIT_MS },
+      ...{ ...this.#makeSharing(INSTANCE_KIND), waitAfterChangesMs: LONG_WAIT_MS },
       onListing: ({ objects }) => {
         this.instances.clear();
         for (const object of objects) this.#putInstance(object);
         onInstances([...this.instances.values()]);
+        this.#startOthers();
       },
       onChange: (change) => {
         if (change.kind === 'put') this.#putInstance(change.object);
@@ -172,6 +228,42 @@
     });
   }
 
+  /**
+   * Lets a watcher find out at once whether the store answers it when another one has lost or regained contact, since its own
+   * call may be lost as well.
+   */
+  #refreshOther(other: KindWatcher, change: ContactChange): void {
+    const { clock, news } = this.options;
+    switch (change.kind) {
+      case 'lost':
+        if (!news.isInOutage()) other.refresh(clock());
+        return;
+      case 'regained':
+        other.refresh(change.startedAtMs);
+        return;
+    }
+  }
+
+  /** Makes the options that let a watcher follow other instances and hand on what it reads. */
+  #makeSharing(kind: string) {
+    const { news, checkSuspension } = this.options;
+    return {
+      checkSuspension,
+      isFollowing: () => news.isFollowing(kind),
+      onListed: () => {
+        news.requestNews();
+      },
+      onRead: () => {
+        news.reportChanges();
+      },
+      computeReadDelayMs: () => news.computeReadDelayMs(kind),
+      getMaxRetryIntervalMs: () => {
+        if (kind === INSTANCE_KIND) return INSTANCE_RETRY_INTERVAL_MS;
+        return news.isReader() ? READER_RETRY_INTERVAL_MS : FOLLOWER_RETRY_INTERVAL_MS;
+      },
+    };
+  }
+
   #handleBundleObject(object: StoredObject): void {
     const { decoders, log, onBundle } = this.options;
     if (object.name !== decoders.bundleName) return;
@@ -191,7 +283,7 @@
     const { registry, clock } = this.options;
     switch (change.kind) {
       case 'deleted':
-        registry.remove(change.name, clock(), change.revision);
+        registry.remove(change.name, clock(), change.revision, change.graceEndsAtMs);
         return;
       case 'put': {
         const entry = this.#decodeServer(change.object);
@@ -213,7 +305,8 @@
   }
 
   #putInstance(object: StoredObject): void {
-    const { address, port, isWatchable } = (object.spec ?? {}) as Record<string, unknown>;
+    const spec = (object.spec ?? {}) as Record<string, unknown>;
+    const { address, port, isWatchable, isReaderCandidate, failureDomain } = spec;
     const candidate = { address, port };
     if (!isUsableAddress(candidate)) {
       this.options.log.warn('invalid announcement of an instance ignored', { name: object.name });
@@ -223,21 +316,8 @@
       instanceId: object.name,
       ...candidate,
       isWatchable: isWatchable === true,
+      isReaderCandidate: isReaderCandidate === true,
+      ...(typeof failureDomain === 'string' ? { failureDomain } : {}),
     });
   }
 }
-
-/**
- * Lets a watcher find out at once whether the store answers it when another one has lost or regained contact, since its own call
- * may be lost as well.
- */
-function refreshOther(other: KindWatcher, change: ContactChange, nowMs: number): void {
-  switch (change.kind) {
-    case 'lost':
-      other.refresh(nowMs);
-      return;
-    case 'regained':
-      other.refresh(change.startedAtMs);
-      return;
-  }
-}
--- /dev/null
+++ b/packages/gateway/test/virtual-store.ts
@@ -0,0 +1,201 @@
+import type {
+  ListingConsistency,
+  ObjectChange,
+  ObjectListing,
+  ObjectStore,
+} from '../src/object-store';
+import type { StoredObject, WatchResult } from '../src/object-store';
+
+/** How the store treats the calls of an instance: it answers, turns them away, or loses them and their answers. */
+export type StoreContact = 'answers' | 'fails' | 'silent';
+
+/** One way of a call, in milliseconds. */
+const LATENCY_MS = 2;
+/** Timeout of a call in addition to the wait of a watch, in milliseconds, as that of the platform's client. */
+const CALL_TIMEOUT_MS = 700;
+/** Age of a listing that may be out of date, in milliseconds. */
+const STALE_MS = 500;
+
+interface RecordedChange {
+  kind: string;
+  change: ObjectChange;
+  revision: number;
+  atMs: number;
+}
+
+interface Waiter {
+  kind: string;
+  afterRevision: number;
+  answer(): void;
+}
+
+/** Object store in virtual time that counts calls. Each instance reaches it through a view with a contact of its own. */
+export class VirtualStore {
+  /** Time of each call. */
+  readonly callTimes: number[] = [];
+  private revision = 1;
+  private readonly objects = new Map<string, Map<string, StoredObject>>();
+  private readonly changes: RecordedChange[] = [];
+  private readonly waiters = new Set<Waiter>();
+  /** Revision up to which the history is gone. */
+  private forgottenRevision = 0;
+
+  put(kind: string, name: string, spec: unknown): void {
+    this.revision += 1;
+    const object = { name, revision: this.revision, spec };
+    this.#getObjects(kind).set(name, object);
+    this.#record(kind, { kind: 'put', object });
+  }
+
+  remove(kind: string, name: string): void {
+    this.revision += 1;
+    this.#getObjects(kind).delete(name);
+    this.#record(kind, { kind: 'deleted', name, revision: this.revision });
+  }
+
+  /** Discards the history, so that all watches must list again. */
+  discardHistory(): void {
+    this.forgottenRevision = this.revision;
+  }
+
+  countCalls(fromMs: number, toMs: number): number {
+    return this.callTimes.filter((atMs) => atMs >= fromMs && atMs < toMs).length;
+  }
+
+  createView(getContact: () => StoreContact): ObjectStore {
+    const send = <T>(
+      waitMs: number,
+      signal: AbortSignal | undefined,
+      run: (answer: (value: T) => void) => (() => void) | undefined,
+    ) => this.#send(getContact, waitMs, signal, run);
+    return {
+      listObjects: (kind, signal, consistency) =>
+        send<ObjectListing>(0, signal, (answer) => {
+          answer(this.#list(kind, consistency));
+          return undefined;
+        }),
+      watchObjects: (kind, afterRevision, waitMs, signal) =>
+        send<WatchResult>(waitMs, signal, (answer) =>
+          this.#watch(kind, afterRevision, waitMs, answer),
+        ),
+      putObject: (kind, name, spec) =>
+        send(0, undefined, (answer: (value: undefined) => void) => {
+          this.put(kind, name, spec);
+          answer(undefined);
+          return undefined;
+        }),
+      removeObject: (kind, name) =>
+        send(0, undefined, (answer: (value: undefined) => void) => {
+          this.remove(kind, name);
+          answer(undefined);
+          return undefined;
+        }),
+      [Symbol.asyncDispose]: () => Promise.resolve(),
+    };
+  }
+
+  #send<T>(
+    getContact: () => StoreContact,
+    waitMs: number,
+    signal: AbortSignal | undefined,
+    run: (answer: (value: T) => void) => (() => void) | undefined,
+  ): Promise<T> {
+    this.callTimes.push(performance.now());
+    return new Promise<T>((resolve, reject) => {
+      let cancel: (() => void) | undefined;
+      const finish = (settle: () => void) => {
+        clearTimeout(timeout);
+        cancel?.();
+        settle();
+      };
+      const timeout = setTimeout(() => {
+        finish(() => {
+          reject(new Error('timed out'));
+        });
+      }, waitMs + CALL_TIMEOUT_MS);
+      signal?.addEventListener('abort', () => {
+        finish(() => {
+          reject(new Error('aborted'));
+        });
+      });
+      const answer = (value: T) => {
+        setTimeout(() => {
+          if (getContact() === 'silent') return;
+          finish(() => {
+            resolve(value);
+          });
+        }, LATENCY_MS);
+      };
+      setTimeout(() => {
+        const contact = getContact();
+        if (signal?.aborted === true || contact === 'silent') return;
+        if (contact === 'fails') {
+          finish(() => {
+            reject(new Error('the store turns the call away'));
+          });
+          return;
+        }
+        cancel = run(answer);
+      }, LATENCY_MS);
+    });
+  }
+
+  #list(kind: string, consistency: ListingConsistency = 'latest'): ObjectListing {
+    const objects = this.#getObjects(kind);
+    if (consistency === 'latest')
+      return { objects: [...objects.values()], revision: this.revision };
+    const untilMs = performance.now() - STALE_MS;
+    const known = this.changes.filter(({ atMs }) => atMs <= untilMs);
+    const listed = new Map<string, StoredObject>();
+    for (const { kind: changedKind, change } of known) {
+      if (changedKind !== kind) continue;
+      if (change.kind === 'put') listed.set(change.object.name, change.object);
+      else listed.delete(change.name);
+    }
+    return { objects: [...listed.values()], revision: known.at(-1)?.revision ?? 1 };
+  }
+
+  #watch(
+    kind: string,
+    afterRevision: number,
+    waitMs: number,
+    answer: (result: WatchResult) => void,
+  ): () => void {
+    if (afterRevision < this.forgottenRevision) {
+      answer({ kind: 'history-lost' });
+      return () => undefined;
+    }
+    const answerNow = () => {
+      const changes = this.changes
+        .filter((entry) => entry.kind === kind && entry.revision > afterRevision)
+        .map(({ change }) => change);
+      this.waiters.delete(waiter);
+      clearTimeout(timer);
+      answer({ kind: 'changes', changes, revision: this.revision });
+    };
+    const waiter: Waiter = { kind, afterRevision, answer: answerNow };
+    const timer = setTimeout(answerNow, waitMs);
+    this.waiters.add(waiter);
+    if (this.#hasChanges(kind, afterRevision)) answerNow();
+    return () => {
+      this.waiters.delete(waiter);
+      clearTimeout(timer);
+    };
+  }
+
+  #hasChanges(kind: string, afterRevision: number): boolean {
+    const last = this.changes.findLast((entry) => entry.kind === kind);
+    return last !== undefined && last.revision > afterRevision;
+  }
+
+  #record(kind: string, change: ObjectChange): void {
+    this.changes.push({ kind, change, revision: this.revision, atMs: performance.now() });
+    for (const waiter of [...this.waiters]) if (waiter.kind === kind) waiter.answer();
+  }
+
+  #getObjects(kind: string): Map<string, StoredObject> {
+    const objects = this.objects.get(kind) ?? new Map<string, StoredObject>();
+    this.objects.set(kind, objects);
+    return objects;
+  }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,3 +11,4 @@
 export * from './limits';
 export * from './availability';
 export * from './pacing';
+export * from './readers';
--- /dev/null
+++ b/packages/policy/src/readers/index.ts
@@ -0,0 +1,2 @@
+export * from './reader-contact';
+export * from './reader-ranking';
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -54,6 +54,7 @@
   isValidGatewaySettings: 'gateway.schema.json#/definitions/GatewaySettings',
   isValidLoadReport: 'gateway.schema.json#/definitions/LoadReport',
   isValidSendCountMessage: 'gateway.schema.json#/definitions/SendCountMessage',
+  isValidStoreMessage: 'gateway.schema.json#/definitions/StoreMessage',
   isValidGossipMessage: 'gateway.schema.json#/definitions/GossipMessage',
   isValidQuarantineRecord: 'gateway.schema.json#/definitions/QuarantineRecord',
 };
