Wake idle instances only for what they have to do

Cause: two timers of 50 ms ran in each instance whether or not there was a load to report or a removal to apply, and the first one listed all servers in use at each tick.

Change: load reports are scheduled by changes, repetitions and requests in progress; deferred removals by the first that is due.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,8 +67,8 @@
  * is a margin, since instances do not know their number exactly.
  */
 const RETRY_SLACK_SHARE = 0.6;
-/** Interval at which deferred removals of servers are checked, in milliseconds. */
-const DEFERRED_REMOVAL_CHECK_MS = 50;
+/** A timer can fire this much early, in milliseconds. */
+const REMOVAL_TIMER_MARGIN_MS = 2;
 /**
  * Time after SIGTERM for which the load balancer still sends new connections, in milliseconds; it stops after two
  * failed readiness checks.
@@ -96,16 +96,21 @@
   private readonly callerServer: ReturnType<typeof createCallerServer>;
   private readonly speeds = new SpeedTracker();
   private readonly suspension = new SuspensionDetector();
-  private readonly deferredRemovalTimer: NodeJS.Timeout;
+  private removalTimer: NodeJS.Timeout | undefined;
   private readonly trafficLog: TrafficLog;
   private readonly httpServers: Server[] = [];
 
   constructor(private readonly options: GatewayOptions) {
     const { settings, log, traffic } = options;
     const clock = () => performance.now();
-    const registry = new ServerRegistry((change) => {
-      this.#handleServerChange(change);
-    });
+    const registry = new ServerRegistry(
+      (change) => {
+        this.#handleServerChange(change);
+      },
+      () => {
+        this.#scheduleRemovals();
+      },
+    );
     const loads = new LoadTable();
     const prefixes = new PrefixCacheTracker();
     const failures = new FailureTracker();
@@ -212,9 +217,6 @@
         this.#checkAnnouncement(instances);
       },
     });
-    this.deferredRemovalTimer = setInterval(() => {
-      registry.applyDeferredRemovals(clock());
-    }, DEFERRED_REMOVAL_CHECK_MS);
   }
 
   /**
@@ -306,7 +308,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    clearInterval(this.deferredRemovalTimer);
+    clearTimeout(this.removalTimer);
     this.trafficLog[Symbol.dispose]();
     await this.storeWatchers[Symbol.asyncDispose]();
     await this.fleetExchange[Symbol.asyncDispose]();
@@ -373,6 +375,20 @@
     });
   }
 
+  #scheduleRemovals(): void {
+    const { registry, clock } = this.context;
+    const dueAtMs = registry.computeNextRemovalMs();
+    clearTimeout(this.removalTimer);
+    if (dueAtMs === Infinity) return;
+    this.removalTimer = setTimeout(
+      () => {
+        registry.applyDeferredRemovals(clock());
+        this.#scheduleRemovals();
+      },
+      Math.max(0, dueAtMs - clock()) + REMOVAL_TIMER_MARGIN_MS,
+    );
+  }
+
   #handleSuspension(): void {
     this.options.log.warn('the process was suspended or the time of day was set');
     this.storeWatchers.discardSync();
--- a/packages/gateway/src/load-reporter.ts
+++ b/packages/gateway/src/load-reporter.ts
@@ -7,8 +7,6 @@
 
 /** Shortest interval between two reports, in milliseconds. */
 const MIN_REPORT_INTERVAL_MS = 50;
-/** A timer can fire this much early or late, in milliseconds. */
-const TIMER_TOLERANCE_MS = 5;
 /** Limit on the reports that an instance sends per second, which costs processor time at its peers. */
 const MAX_REPORTS_PER_SECOND = 160;
 /**
@@ -44,7 +42,10 @@
 export class LoadReporter implements AsyncDisposable {
   private readonly incarnation = `${process.pid}-${Date.now()}`;
   private readonly lastSequences = new Map<string, { incarnation: string; sequence: number }>();
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout | undefined;
+  private timerDueAtMs = Infinity;
+  private hasChanges = false;
+  private isDisposed = false;
   private readonly changes: LoadChanges;
   private peers: readonly PeerAddress[] = [];
   private sequence = 0;
@@ -57,9 +58,9 @@
     options.socket.setHandler('load-report', (bytes) => {
       this.#handleMessage(bytes);
     });
-    this.timer = setInterval(() => {
-      this.#sendReportIfDue();
-    }, MIN_REPORT_INTERVAL_MS);
+    options.loads.setChangeListener(() => {
+      this.#handleChange();
+    });
   }
 
   setPeers(peers: readonly PeerAddress[]): void {
@@ -70,25 +71,62 @@
     for (const peerId of knownIds) {
       if (!remainingIds.has(peerId)) loads.removePeer(peerId, clock());
     }
-    if (others.some((peer) => !knownIds.has(peer.instanceId))) this.changes.reset();
     this.peers = others;
+    if (!others.some((peer) => !knownIds.has(peer.instanceId))) return;
+    this.changes.reset();
+    this.#handleChange();
   }
 
   /** Adds a prompt to the next report that has room for it. */
   addPrompt(prompt: ReportedPrompt): void {
     if (this.pendingPrompts.length < MAX_PENDING_PROMPTS) this.pendingPrompts.push(prompt);
+    this.#handleChange();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    clearInterval(this.timer);
+    this.isDisposed = true;
+    clearTimeout(this.timer);
     await Promise.resolve();
   }
 
+  #handleChange(): void {
+    this.hasChanges = true;
+    this.#schedule(this.nextReportAtMs);
+  }
+
+  /** Sets the timer for the next report, unless it is set for an earlier time; an instance without requests sets none. */
+  #schedule(dueAtMs: number): void {
+    if (this.isDisposed || dueAtMs >= this.timerDueAtMs) return;
+    clearTimeout(this.timer);
+    this.timerDueAtMs = dueAtMs;
+    this.timer = setTimeout(
+      () => {
+        this.timerDueAtMs = Infinity;
+        this.#sendReportIfDue();
+        this.#scheduleNext();
+      },
+      Math.max(0, dueAtMs - this.options.clock()),
+    );
+  }
+
+  #scheduleNext(): void {
+    if (this.hasChanges) {
+      this.#schedule(this.nextReportAtMs);
+      return;
+    }
+    const repetitionAtMs = this.changes.computeNextRepetitionMs();
+    const signAtMs = this.changes.hasRequests()
+      ? this.lastSentAtMs + IDLE_REPORT_INTERVAL_MS
+      : Infinity;
+    const dueAtMs = Math.min(repetitionAtMs, signAtMs);
+    if (dueAtMs < Infinity) this.#schedule(Math.max(dueAtMs, this.nextReportAtMs));
+  }
+
   #sendReportIfDue(): void {
     const nowMs = this.options.clock();
-    if (nowMs < this.nextReportAtMs - TIMER_TOLERANCE_MS) return;
     const loads = this.changes.takeDue(nowMs, MAX_LOADS_PER_REPORT);
     const prompts = this.pendingPrompts.splice(0, MAX_PROMPTS_PER_REPORT);
+    this.hasChanges = loads.length === MAX_LOADS_PER_REPORT || this.pendingPrompts.length > 0;
     if (loads.length + prompts.length === 0) {
       if (nowMs - this.lastSentAtMs < IDLE_REPORT_INTERVAL_MS) return;
       if (!this.changes.hasRequests()) return;
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -43,7 +43,11 @@
   private graceEndsAtMs = -Infinity;
   private changeCount = 0;
 
-  constructor(private readonly onChange: (change: ServerChange) => void) {}
+  /** @param onDeferral called when a removal has been deferred, so that `applyDeferredRemovals` must be called in time */
+  constructor(
+    private readonly onChange: (change: ServerChange) => void,
+    private readonly onDeferral: () => void = () => undefined,
+  ) {}
 
   /** Increases with each change of a server, so that what is derived from the servers can be kept until then. */
   countChanges(): number {
@@ -81,6 +85,7 @@
   remove(serverId: string, nowMs: number, revision?: number): void {
     if (this.servers.get(serverId)?.state === 'ready' && nowMs < this.graceEndsAtMs) {
       this.deferredRemovals.set(serverId, { dueAtMs: this.graceEndsAtMs, revision });
+      this.onDeferral();
       return;
     }
     this.#removeNow(serverId, revision);
@@ -118,6 +123,11 @@
     }
   }
 
+  /** Time at which the next deferred removal is to be applied, in milliseconds of the monotonic clock; Infinity if none is. */
+  computeNextRemovalMs(): number {
+    return Math.min(Infinity, ...[...this.deferredRemovals.values()].map(({ dueAtMs }) => dueAtMs));
+  }
+
   get(serverId: string): BackendServer | undefined {
     return this.servers.get(serverId);
   }
--- a/packages/policy/src/placement/load-changes.ts
+++ b/packages/policy/src/placement/load-changes.ts
@@ -35,6 +35,18 @@
     return this.loads.listLocalServers().some(({ hasRequests }) => hasRequests);
   }
 
+  /** Time at which the next repetition is due if no load changes, in milliseconds; Infinity if none is. */
+  computeNextRepetitionMs(): number {
+    const inUse = this.loads.listLocalServers().filter(({ hasRequests }) => hasRequests);
+    const inUseIds = new Set(inUse.map(({ serverId }) => serverId));
+    let earliestMs = Infinity;
+    for (const [serverId, { sentAtMs, isRepeated }] of this.sent) {
+      if (isRepeated && !inUseIds.has(serverId)) continue;
+      earliestMs = Math.min(earliestMs, sentAtMs + REPEAT_INTERVAL_MS);
+    }
+    return earliestMs;
+  }
+
   /** Takes at most `limit` loads, those first that were reported longest ago. */
   takeDue(nowMs: number, limit: number): DueLoad[] {
     this.#discardRemovedServers();
--- a/packages/policy/src/placement/load-table.ts
+++ b/packages/policy/src/placement/load-table.ts
@@ -39,6 +39,12 @@
 export class LoadTable {
   private readonly local = new Map<string, LocalServer>();
   private readonly peers = new PeerLoads();
+  private notifyChange: () => void = () => undefined;
+
+  /** Sets what is called after each change of the load that this instance puts on servers. */
+  setChangeListener(notifyChange: () => void): void {
+    this.notifyChange = notifyChange;
+  }
 
   add(request: PlacedRequest, nowMs: number): void {
     const server = this.local.get(request.serverId) ?? makeLocalServer();
@@ -47,6 +53,7 @@
     server.changeCount += 1;
     const meter = request.hasLongPrompt ? server.longPromptMeter : server.shortPromptMeter;
     meter.add(request.prefillMs, nowMs);
+    this.notifyChange();
   }
 
   /** Records that the stream has sent its first event, so that it counts as streaming instead of waiting. */
@@ -54,12 +61,16 @@
     if (request.isStreaming) return;
     request.isStreaming = true;
     const server = this.local.get(request.serverId);
-    if (server !== undefined) server.changeCount += 1;
+    if (server === undefined) return;
+    server.changeCount += 1;
+    this.notifyChange();
   }
 
   remove(request: PlacedRequest): void {
     const server = this.local.get(request.serverId);
-    if (server?.requests.delete(request)) server.changeCount += 1;
+    if (!server?.requests.delete(request)) return;
+    server.changeCount += 1;
+    this.notifyChange();
   }
 
   /** Removes a server that is no longer listed. Does nothing while requests of this instance to it are in progress. */
