Count events, not bytes, as the progress of a stream

Cause: each byte of a stream restarted the time after which it goes on at another server.

Change: only an event with data or an id counts. A stream whose events come slowly counts as stalled after twice its longest gap, so that it is not moved where other servers are as slow.

--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -11,6 +11,8 @@
 import { resolveAttemptOutcome } from './attempt-outcome';
 
 const OK = 200;
+/** Multiple of a stream's longest time between two events after which it counts as stalled. */
+const GAP_FACTOR = 2;
 const EVENT_STREAM_TYPE = /^\s*text\/event-stream\s*(;|$)/i;
 
 /** Result of one attempt of a stream. */
@@ -32,9 +34,9 @@
   /** Events that the caller has received from this and earlier attempts. */
   sequence: EventSequence;
   /**
-   * Time without further data of the event stream after which the attempt is cancelled if the stream can go on at another
-   * server, in milliseconds. Until the stream's first data, the time of `computeOverdueAfterMs` applies. Undefined disables
-   * both timeouts.
+   * Time without a further event after which the attempt is cancelled if the stream can go on at another server, in
+   * milliseconds; longer for a stream whose events have come more slowly. Until the first event, the time of
+   * `computeOverdueAfterMs` applies. Undefined disables both timeouts.
    */
   inactivityTimeoutMs: number | undefined;
   /** Whether the stream would go on at another server if this attempt were cancelled now. */
@@ -59,6 +61,9 @@
   private head: ResponseHead | undefined;
   private decoded: DecodedResponse | undefined;
   private inactivityTimer: NodeJS.Timeout | undefined;
+  /** Time of the last event, or from which the next one is waited for; the wait for the first one is no gap. */
+  private progressAtMs = Infinity;
+  private longestGapMs = 0;
   private attempt: RunningAttempt | undefined;
   private settleRun: (result: StreamAttemptResult) => void = () => undefined;
 
@@ -109,14 +114,15 @@
   }
 
   #handleData(chunk: Buffer): boolean {
-    const { dispatch, dispatcher, inactivityTimeoutMs, onEvents } = this.options;
+    const { dispatch, dispatcher, onEvents } = this.options;
     if (this.head === undefined || !this.#isStream()) {
       this.#getOtherBody().add(chunk);
       return true;
     }
     if (!dispatch.placed.isStreaming) this.#recordFirstEvent();
-    if (inactivityTimeoutMs !== undefined) this.#startInactivityTimer(inactivityTimeoutMs);
     const events = this.splitter.readEvents(chunk);
+    // Comments and parts of an event also come from a server that has stalled.
+    if (events.ids.length > 0) this.#recordProgress();
     const error = this.#findResumptionError(events);
     if (error !== undefined) {
       this.#failAttempt(error);
@@ -141,6 +147,18 @@
     return false;
   }
 
+  #recordProgress(): void {
+    const nowMs = this.options.exchange.context.clock();
+    this.longestGapMs = Math.max(this.longestGapMs, nowMs - this.progressAtMs);
+    this.progressAtMs = nowMs;
+    this.#startInactivityTimer(this.#computeInactivityTimeoutMs());
+  }
+
+  /** Slow streams stay at their server: another one would be as slow, or would take longer to begin. */
+  #computeInactivityTimeoutMs(): number {
+    return Math.max(this.options.inactivityTimeoutMs ?? 0, GAP_FACTOR * this.longestGapMs);
+  }
+
   #startPacePause(bytes: number, lines: number): void {
     const delayMs = this.pace.recordPart({ bytes, lines }, this.options.exchange.context.clock());
     if (delayMs === 0) return;
@@ -158,7 +176,8 @@
 
   #endPause(pause: 'caller' | 'pace'): void {
     if (!this.pauses.delete(pause) || this.pauses.size > 0) return;
-    this.#startInactivityTimer(this.options.inactivityTimeoutMs ?? 0);
+    this.progressAtMs = this.options.exchange.context.clock();
+    this.#startInactivityTimer(this.#computeInactivityTimeoutMs());
     this.attempt?.resume();
   }
 
--- a/packages/gateway/src/stream-request-handler.ts
+++ b/packages/gateway/src/stream-request-handler.ts
@@ -19,12 +19,12 @@
 /** Sent as `retry-after` when no server can take the stream, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 /**
- * A resumable stream is resumed at another server after this multiple of the pause target without further data; until
- * the first data, the time of `computeOverdueAfterMs` applies.
+ * A resumable stream is resumed at another server after this multiple of the pause target without a further event; until
+ * the first event, the time of `computeOverdueAfterMs` applies.
  */
 const INACTIVITY_TIMEOUT_FACTOR = 3;
 /**
- * Lower bound of the time without further data, in milliseconds; the pause of a stream whose server restarts its
+ * Lower bound of the time without a further event, in milliseconds; the pause of a stream whose server restarts its
  * connections is shorter than this bound.
  */
 const MIN_INACTIVITY_TIMEOUT_MS = 1_000;
