Read the configuration and the servers while the instance is announced

Cause: after a restart, on a third of a core, each step of the start took 0.2 to 0.3 s, and the listings waited for the announcement and for the list of instances, although only the watches depend on them.

--- a/packages/gateway/test/reading-fleet.ts
+++ b/packages/gateway/test/reading-fleet.ts
@@ -121,15 +121,12 @@
     },
   };
   const announcement = { address: '127.0.0.1', port, failureDomain };
-  void view
-    .putObject(INSTANCE_KIND, instanceId, {
-      ...announcement,
-      isWatchable: true,
-      isReaderCandidate: true,
-    })
-    .finally(() => {
-      watchers.start();
-    });
+  const announced = view.putObject(INSTANCE_KIND, instanceId, {
+    ...announcement,
+    isWatchable: true,
+    isReaderCandidate: true,
+  });
+  watchers.start(announced);
   return instance;
 }
 
