--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,8 @@
 ] as const satisfies readonly (keyof GatewaySettings)[];
 /** Delay before a failed announcement is retried, in milliseconds. */
 const ANNOUNCE_RETRY_MS = 1_000;
+/** Longest time for which the watches wait for the first announcement, in milliseconds. */
+const MAX_ANNOUNCE_DELAY_MS = 200;
 const DEFAULT_READINESS_PATH = '/readyz';
 /**
  * Share of `retrySlack`, the retries allowed regardless of the retry ratio, that all instances together use. The rest
@@ -231,7 +233,9 @@
     if (settings.metricsAddress !== undefined) {
       await this.#openPort(createMetricsServer(this.context), settings.metricsAddress);
     }
-    this.storeWatchers.start(this.#announce());
+    // An instance that finds itself among the announced ones knows whether it is to read the store.
+    await Promise.race([this.#announce(), sleep(MAX_ANNOUNCE_DELAY_MS)]);
+    this.storeWatchers.start();
     this.fleetExchange.start();
     log.info('gateway started', {
       failureDomain: settings.failureDomain,
--- a/packages/gateway/src/store-news.ts
+++ b/packages/gateway/src/store-news.ts
@@ -39,9 +39,7 @@
 const ASK_INTERVAL_MS = 600;
 /** Time without an answer after which other instances are asked, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 250;
-/** Time for which an instance waits for the list of instances before it reads from the store itself, in milliseconds. */
-const INSTANCE_LIST_TIMEOUT_MS = 500;
-/** Time for which it then waits for the first news, in milliseconds. */
+/** Time after the start for which an instance waits for news before it reads from the store itself, in milliseconds. */
 const FIRST_NEWS_TIMEOUT_MS = 300;
 /** Attempts to get an answer, after which the instance waits for the next interval. */
 const MAX_ATTEMPTS = 3;
@@ -88,7 +86,6 @@
   private readonly followers = new Map<string, Follower>();
   private kinds: readonly SharedKind[] = [];
   private addresses = new Map<string, SenderAddress>();
-  private hasInstances = false;
   /** Questions of the present round by number; the newest last. */
   private round = new Map<number, Question>();
   private lastQuestionId = 0;
@@ -112,20 +109,18 @@
   /** Sets what is shared and begins to ask. */
   start(kinds: readonly SharedKind[]): void {
     this.kinds = kinds;
-    this.expectedUntilMs = this.options.clock() + INSTANCE_LIST_TIMEOUT_MS;
     this.#advance();
   }
 
   /** Takes in the announced instances. */
   setInstances(instances: readonly PeerAddress[]): void {
-    const isFirst = !this.hasInstances;
-    this.hasInstances = true;
+    const isFirst = this.addresses.size === 0;
     const candidates = instances.filter((instance) => instance.isReaderCandidate === true);
     this.addresses = new Map(candidates.map((candidate) => [candidate.instanceId, candidate]));
     this.contact.setCandidates(
       candidates.map(({ instanceId, failureDomain }) => ({ instanceId, failureDomain })),
     );
-    if (isFirst) {
+    if (isFirst && candidates.length > 0) {
       this.expectedUntilMs = this.options.clock() + FIRST_NEWS_TIMEOUT_MS;
       this.requestNews();
     }
@@ -136,9 +131,7 @@
   isFollowing(kind: string): boolean {
     const nowMs = this.options.clock();
     const shared = this.kinds.find((candidate) => candidate.kind === kind);
-    if (shared === undefined) return false;
-    if (!this.hasInstances) return nowMs < this.expectedUntilMs;
-    if (this.contact.isReader(nowMs)) return false;
+    if (shared === undefined || this.contact.isReader(nowMs)) return false;
     return nowMs < this.expectedUntilMs || shared.watcher.getAgeMs(nowMs) <= shared.maxAgeMs;
   }
 
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -48,8 +48,8 @@
  * answers whether the store has changes that the watch for servers has not delivered.
  */
 const LONG_WAIT_MS = 15_000;
-/** Longest time for which the watch for instances waits for the announcement of this one, in milliseconds. */
-const MAX_ANNOUNCE_DELAY_MS = 200;
+/** Longest time for which the other watches wait for the list of instances, in milliseconds. */
+const MAX_START_DELAY_MS = 200;
 /**
  * Age from which the configuration or the servers are read from the store although others are asked, in milliseconds. It leaves
  * time for a call within 2 s, the shortest time in which instances must apply changes.
@@ -75,7 +75,6 @@
   private readonly watchers: readonly KindWatcher[];
   private readonly instances = new Map<string, PeerAddress>();
   private startTimer: NodeJS.Timeout | undefined;
-  private isDisposed = false;
   /** Called when the list of servers has been read again. */
   private readonly listWaiters = new Set<() => void>();
 
@@ -86,22 +85,13 @@
     this.watchers = [this.bundleWatcher, this.serverWatcher, this.instanceWatcher];
   }
 
-  /**
-   * Starts to read.
-   *
-   * @param announced settles when this instance has been announced; one that finds itself among the instances knows whether it is
-   * to read for others
-   */
-  start(announced: Promise<void>): void {
+  /** Starts with the instances, since the others are read from the store or from another instance depending on them. */
+  start(): void {
     const { news, decoders } = this.options;
-    this.bundleWatcher.start();
-    this.serverWatcher.start();
+    this.instanceWatcher.start();
     this.startTimer = setTimeout(() => {
-      this.instanceWatcher.start();
-    }, MAX_ANNOUNCE_DELAY_MS);
-    void announced.finally(() => {
-      if (!this.isDisposed) this.instanceWatcher.start();
-    });
+      this.#startOthers();
+    }, MAX_START_DELAY_MS);
     const maxAgeMs = MAX_FOLLOWED_AGE_MS;
     news.start([
       { kind: decoders.bundleKind, watcher: this.bundleWatcher, maxAgeMs },
@@ -149,11 +139,16 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.isDisposed = true;
     clearTimeout(this.startTimer);
     for (const watcher of this.watchers) await watcher[Symbol.asyncDispose]();
   }
 
+  #startOthers(): void {
+    clearTimeout(this.startTimer);
+    this.bundleWatcher.start();
+    this.serverWatcher.start();
+  }
+
   #createBundleWatcher(): KindWatcher {
     const { store, log, clock, decoders, keyFreshness, registry, news } = this.options;
     return new KindWatcher({
@@ -223,6 +218,7 @@
         this.instances.clear();
         for (const object of objects) this.#putInstance(object);
         onInstances([...this.instances.values()]);
+        this.#startOthers();
       },
       onChange: (change) => {
         if (change.kind === 'put') this.#putInstance(change.object);
--- a/packages/gateway/test/reading-fleet.ts
+++ b/packages/gateway/test/reading-fleet.ts
@@ -121,12 +121,15 @@
     },
   };
   const announcement = { address: '127.0.0.1', port, failureDomain };
-  const announced = view.putObject(INSTANCE_KIND, instanceId, {
-    ...announcement,
-    isWatchable: true,
-    isReaderCandidate: true,
-  });
-  watchers.start(announced);
+  void view
+    .putObject(INSTANCE_KIND, instanceId, {
+      ...announcement,
+      isWatchable: true,
+      isReaderCandidate: true,
+    })
+    .finally(() => {
+      watchers.start();
+    });
   return instance;
 }
 
