Use no servers before the list of them is known to be complete

Cause: the first listing after a start may be out of date by seconds, and requests without a key could go to a server in it that had left, until the first sync some milliseconds later.

Change: the list is usable after the first sync. An answer counts as one only if its sender was asked.

--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -119,6 +119,7 @@
   private isParked = false;
   private isWaitingForTurn = false;
   private hasListed = false;
+  private wasSynced = false;
   private isDisposed = false;
   private readonly changeLog = new ChangeLog();
   private runPromise: Promise<void> | undefined;
@@ -148,6 +149,11 @@
     return this.unsyncedSinceMs;
   }
 
+  /** Whether the objects have been known to be complete; a first listing alone may be out of date. */
+  hasSynced(): boolean {
+    return this.wasSynced;
+  }
+
   /** Time of the last answer of the store, in milliseconds of the monotonic clock; -Infinity before the first one. */
   getAnsweredAtMs(): number {
     return this.answeredAtMs;
@@ -340,6 +346,7 @@
   #recordSync(syncedAtMs: number, revision: number | undefined): void {
     this.syncedAtMs = Math.max(this.syncedAtMs, syncedAtMs);
     this.unsyncedSinceMs = undefined;
+    this.wasSynced = true;
     this.mustRead = false;
     this.options.onSync?.(syncedAtMs, revision);
   }
--- a/packages/gateway/src/store-news.ts
+++ b/packages/gateway/src/store-news.ts
@@ -352,17 +352,17 @@
 
   #handleNews({ questionId, instanceId, news }: StoreMessageContent & { kind: 'news' }): void {
     const question = this.round.get(questionId);
-    const isAsked = question?.asked.includes(instanceId) === true;
-    if (!isAsked && !this.addresses.has(instanceId)) return;
+    const answered = question?.asked.includes(instanceId) === true ? question : undefined;
+    if (answered === undefined && !this.addresses.has(instanceId)) return;
     const nowMs = this.options.clock();
     if (this.#isOverdue(nowMs)) this.options.onOutage(nowMs);
-    const ages = news.map((kindNews) => this.#applyKindNews(kindNews, question?.askedAtMs));
+    const ages = news.map((kindNews) => this.#applyKindNews(kindNews, answered?.askedAtMs));
     this.reportChanges();
-    if (question === undefined || !isAsked) {
+    if (answered === undefined) {
       if (this.isInOutage() && isRecentNews(ages)) this.requestNews();
       return;
     }
-    question.isAnswered = true;
+    answered.isAnswered = true;
     this.#judgeAnswer(instanceId, ages, nowMs);
   }
 
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -118,9 +118,11 @@
 
   /**
    * Whether requests may go to the listed servers. They may not if the servers have not been read for `MAX_UNSYNCED_AGE_MS`
-   * although the store answers about the configuration. While it answers about nothing, requests go on.
+   * although the store answers about the configuration. While it answers about nothing, requests go on. They may not before the
+   * first sync.
    */
   isServerListUsable(nowMs: number): boolean {
+    if (!this.serverWatcher.hasSynced()) return false;
     const unsyncedSinceMs = this.serverWatcher.getUnsyncedSinceMs();
     if (unsyncedSinceMs === undefined) return true;
     if (this.serverWatcher.getAgeMs(nowMs) <= MAX_UNSYNCED_AGE_MS) return true;
--- a/packages/gateway/test/reading-fleet.ts
+++ b/packages/gateway/test/reading-fleet.ts
@@ -20,6 +20,8 @@
   keyFreshness: KeyFreshness;
   news: StoreNews;
   storeContact: StoreContact;
+  /** Whether requests may go to the servers of the registry. */
+  isServerListUsable(): boolean;
   /** Version of the configuration in force; undefined before the first one. */
   version: number | undefined;
   /** Bytes of all datagrams sent, without headers. */
@@ -112,6 +114,7 @@
       peerContact = contact;
       for (const deliver of held.splice(0)) deliver();
     },
+    isServerListUsable: () => watchers.isServerListUsable(clock()),
     isFrozen: () => frozenAtMs !== undefined,
     setClockStep: (step) => {
       stepMs = step;
--- a/packages/gateway/test/store-news.test.ts
+++ b/packages/gateway/test/store-news.test.ts
@@ -37,6 +37,7 @@
 
 interface Fleet extends AsyncDisposable {
   store: VirtualStore;
+  network: LossyNetwork;
   instances: ReadingInstance[];
   /** Revision history: time at which each version was written. */
   writtenAtMs: Map<number, number>;
@@ -60,7 +61,7 @@
   );
   await vi.advanceTimersByTimeAsync(SETTLE_MS);
   return {
-    ...{ store, instances, writtenAtMs, writeVersion },
+    ...{ store, network, instances, writtenAtMs, writeVersion },
     async [Symbol.asyncDispose]() {
       await Promise.all(instances.map((instance) => instance[Symbol.asyncDispose]()));
     },
@@ -423,3 +424,31 @@
   }
   expect(Math.min(...fewest)).toBe(SERVERS);
 });
+
+const RESTART_STEP_MS = 1;
+const RESTART_MS = 1_500;
+
+// Guards against an instance that has just started and uses a server that had left, since its first listing may be out of date.
+test.each([1, 6, 62])(
+  'a restart beside %i instances uses no server that has left',
+  async (count) => {
+    await using fleet = await startFleet(count);
+    const { store, network, instances } = fleet;
+    store.remove('servers', 'server-0');
+    putServer(store, 'server-1', 'draining');
+    const restarted = startReadingInstance(store, network, count + 1);
+    instances.push(restarted);
+    const used = new Set<string>();
+    let usableAtMs: number | undefined;
+    for (let elapsedMs = 0; elapsedMs < RESTART_MS; elapsedMs += RESTART_STEP_MS) {
+      await vi.advanceTimersByTimeAsync(RESTART_STEP_MS);
+      if (restarted.version === undefined || !restarted.isServerListUsable()) continue;
+      const ready = restarted.registry.listReady('desk');
+      if (ready.length === 0) continue;
+      usableAtMs ??= elapsedMs;
+      for (const { serverId } of ready) used.add(serverId);
+    }
+    expect([...used].filter((serverId) => ['server-0', 'server-1'].includes(serverId))).toEqual([]);
+    expect(usableAtMs).toBeLessThan(1_000);
+  },
+);
