Add eras, conditional writes and the interfaces of the duties

Several parts are built at the same time and share these types: the store's answers carry the era in which their revisions are valid (the header Store-Era; 0 where it is missing), objects can be read, created and replaced under a condition, a service may have bounds for ordered servers, and the settings name the platform's API with the figures of its duties. Nothing uses them yet. Type check, lint and platform/test/object-store.test.ts pass; the two assertions that compare a whole result now also contain the era.

--- a/packages/gateway/src/bundle.ts
+++ b/packages/gateway/src/bundle.ts
@@ -39,8 +39,24 @@
   tokensPerEvent: number;
 }
 
+/** Bounds and prices of the backend servers that may be ordered for a service. */
+export interface ServiceScaling {
+  /** Least number of servers in each failure domain, preemptible ones included. */
+  minServers: number;
+  /** Largest number of servers in each failure domain, preemptible ones included. */
+  maxServers: number;
+  /** Time from an order until new servers take requests, in milliseconds. */
+  bootMs: number;
+  /** Price of a preemptible server as a share of that of another one; undefined if there are none. */
+  preemptiblePriceShare: number | undefined;
+  /** Relative price of a server-second by failure domain. */
+  priceByFailureDomain: ReadonlyMap<string, number>;
+}
+
 export interface Service {
   name: string;
+  /** Undefined when no servers are ordered for the service. */
+  scaling?: ServiceScaling | undefined;
   /** Maximum number of connections to one server from all gateway instances together. */
   maxConnections: number;
   /** Undefined when the service's servers are not model engines. */
@@ -83,6 +99,8 @@
   failureDomain: string;
   slots: number;
   state: ServerState;
+  /** Whether the platform may reclaim the server at short notice; false by default. */
+  isPreemptible?: boolean;
   /**
    * Start time of the server's process in Unix milliseconds. When it changes, the failures, caches and
    * speeds recorded for the previous process are discarded.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import type { BackendServer, RouteBundle } from './bundle';
 import { createCallerServer } from './caller-server';
 import { CrashObserver } from './crash-observer';
+import type { DutyCalls, DutyKind } from './duties/types';
 import { recordPrompt } from './gateway-context';
 import type { GatewayContext } from './gateway-context';
 import { FleetExchange } from './fleet-exchange';
@@ -47,6 +48,8 @@
   decoders: ObjectDecoders;
   log: GatewayLog;
   traffic: TrafficMeter;
+  /** Calls that one instance makes for the fleet, and those that the platform asks for; undefined if there are none. */
+  duties?: { calls: DutyCalls; kinds: readonly DutyKind[] } | undefined;
 }
 
 /** Settings that are read at each use, so that a reload takes effect without a restart. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 export type * from './bundle';
+export type * from './duties/types';
 export * from './gateway';
 export * from './gateway-log';
 export type { HeaderNames } from './header-codec';
--- a/packages/gateway/test/change-log.test.ts
+++ b/packages/gateway/test/change-log.test.ts
@@ -11,7 +11,11 @@
 
 function startLog(): ChangeLog {
   const log = new ChangeLog();
-  log.recordListing({ objects: [{ name: 'a', revision: 3, spec: { text: LARGE } }], revision: 5 });
+  log.recordListing({
+    objects: [{ name: 'a', revision: 3, spec: { text: LARGE } }],
+    revision: 5,
+    era: 0,
+  });
   return log;
 }
 
@@ -84,6 +88,7 @@
       { name: 'b', revision: 8, spec: 1 },
     ],
     revision: 12,
+    era: 0,
   });
   expect(mergeChanges(reader, follower, 5)).toEqual([
     put('b', 8, 1),
--- a/packages/gateway/test/fake-store.ts
+++ b/packages/gateway/test/fake-store.ts
@@ -1,6 +1,6 @@
 import { once, EventEmitter } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { ObjectChange, ObjectStore, StoredObject } from '../src';
+import type { ConditionalWrite, ObjectChange, ObjectStore, StoredObject } from '../src';
 
 /** How the fake store responds to calls. */
 export type StoreMode = 'up' | 'failing' | 'silent' | 'history-lost';
@@ -14,6 +14,7 @@
 /** In-memory object store that can fail, stop responding and lose its change history. */
 export class FakeStore implements ObjectStore {
   mode: StoreMode = 'up';
+  era = 0;
   listCalls = 0;
   /** Object kind of each watch call, in order. */
   readonly watchedKinds: string[] = [];
@@ -25,7 +26,8 @@
   async listObjects(kind: string) {
     this.listCalls += 1;
     await this.#waitForResponse();
-    return { objects: [...(this.objects.get(kind)?.values() ?? [])], revision: this.revision };
+    const { revision, era } = this;
+    return { objects: [...(this.objects.get(kind)?.values() ?? [])], revision, era };
   }
 
   async watchObjects(kind: string, afterRevision: number, waitMs: number) {
@@ -35,7 +37,7 @@
       await this.#waitForResponse();
       if (this.mode === 'history-lost') {
         this.mode = 'up';
-        return { kind: 'history-lost' as const };
+        return { kind: 'history-lost' as const, era: this.era };
       }
       const changes = this.changes.filter(
         (entry) => entry.kind === kind && entry.revision > afterRevision,
@@ -45,12 +47,31 @@
           kind: 'changes' as const,
           changes: changes.map((entry) => entry.change),
           revision: this.revision,
+          era: this.era,
         };
       }
       await this.#waitForChange(untilMs - performance.now());
     }
   }
 
+  async readObject(kind: string, name: string) {
+    await this.#waitForResponse();
+    return { object: this.objects.get(kind)?.get(name), era: this.era };
+  }
+
+  createObject(kind: string, name: string, spec: unknown): Promise<ConditionalWrite> {
+    return this.#writeIf(kind, name, spec, undefined);
+  }
+
+  replaceObject(
+    kind: string,
+    name: string,
+    spec: unknown,
+    revision: number,
+  ): Promise<ConditionalWrite> {
+    return this.#writeIf(kind, name, spec, revision);
+  }
+
   async putObject(kind: string, name: string, spec: unknown): Promise<void> {
     await this.#waitForResponse();
     this.put(kind, name, spec);
@@ -91,6 +112,21 @@
     await Promise.resolve();
   }
 
+  /** Writes an object if its revision is the given one; undefined if it must not exist. */
+  async #writeIf(
+    kind: string,
+    name: string,
+    spec: unknown,
+    revision: number | undefined,
+  ): Promise<ConditionalWrite> {
+    await this.#waitForResponse();
+    const current = this.objects.get(kind)?.get(name);
+    const { era } = this;
+    if (current?.revision !== revision) return { kind: 'conflict', current, era };
+    this.put(kind, name, spec);
+    return { kind: 'written', revision: this.revision, era };
+  }
+
   #recordChange(change: RecordedChange): void {
     this.changes.push(change);
     this.changeEvents.emit('change');
--- a/packages/gateway/test/partial-store.ts
+++ b/packages/gateway/test/partial-store.ts
@@ -35,6 +35,20 @@
     );
   }
 
+  readObject(kind: string, name: string) {
+    return this.#send(kind, 0, undefined, () => this.store.readObject(kind, name));
+  }
+
+  createObject(kind: string, name: string, spec: unknown) {
+    return this.#send(kind, 0, undefined, () => this.store.createObject(kind, name, spec));
+  }
+
+  replaceObject(kind: string, name: string, spec: unknown, revision: number) {
+    return this.#send(kind, 0, undefined, () =>
+      this.store.replaceObject(kind, name, spec, revision),
+    );
+  }
+
   putObject(kind: string, name: string, spec: unknown) {
     return this.#send(kind, 0, undefined, () => this.store.putObject(kind, name, spec));
   }
--- a/packages/gateway/test/virtual-store.ts
+++ b/packages/gateway/test/virtual-store.ts
@@ -1,7 +1,9 @@
 import type {
+  ConditionalWrite,
   ListingConsistency,
   ObjectChange,
   ObjectListing,
+  ObjectReading,
   ObjectStore,
 } from '../src/object-store';
 import type { StoredObject, WatchResult } from '../src/object-store';
@@ -35,6 +37,7 @@
 export class VirtualStore {
   /** Time of each call. */
   readonly callTimes: number[] = [];
+  era = 0;
   private revision = 1;
   private readonly objects = new Map<string, Map<string, StoredObject>>();
   private readonly changes: RecordedChange[] = [];
@@ -84,6 +87,21 @@
         send<WatchResult>(waitMs, signal, (answer) =>
           this.#watch(kind, afterRevision, waitMs, answer),
         ),
+      readObject: (kind, name) =>
+        send<ObjectReading>(0, undefined, (answer) => {
+          answer({ object: this.#getObjects(kind).get(name), era: this.era });
+          return undefined;
+        }),
+      createObject: (kind, name, spec) =>
+        send<ConditionalWrite>(0, undefined, (answer) => {
+          answer(this.#writeIf(kind, name, spec, undefined));
+          return undefined;
+        }),
+      replaceObject: (kind, name, spec, revision) =>
+        send<ConditionalWrite>(0, undefined, (answer) => {
+          answer(this.#writeIf(kind, name, spec, revision));
+          return undefined;
+        }),
       putObject: (kind, name, spec) =>
         send(0, undefined, (answer: (value: undefined) => void) => {
           this.put(kind, name, spec);
@@ -146,10 +164,24 @@
     });
   }
 
+  /** Writes an object if its revision is the given one; undefined if it must not exist. */
+  #writeIf(
+    kind: string,
+    name: string,
+    spec: unknown,
+    revision: number | undefined,
+  ): ConditionalWrite {
+    const current = this.#getObjects(kind).get(name);
+    const { era } = this;
+    if (current?.revision !== revision) return { kind: 'conflict', current, era };
+    this.put(kind, name, spec);
+    return { kind: 'written', revision: this.revision, era };
+  }
+
   #list(kind: string, consistency: ListingConsistency = 'latest'): ObjectListing {
     const objects = this.#getObjects(kind);
     if (consistency === 'latest')
-      return { objects: [...objects.values()], revision: this.revision };
+      return { objects: [...objects.values()], revision: this.revision, era: this.era };
     const untilMs = performance.now() - STALE_MS;
     const known = this.changes.filter(({ atMs }) => atMs <= untilMs);
     const listed = new Map<string, StoredObject>();
@@ -158,7 +190,8 @@
       if (change.kind === 'put') listed.set(change.object.name, change.object);
       else listed.delete(change.name);
     }
-    return { objects: [...listed.values()], revision: known.at(-1)?.revision ?? 1 };
+    const revision = known.at(-1)?.revision ?? 1;
+    return { objects: [...listed.values()], revision, era: this.era };
   }
 
   #watch(
@@ -168,7 +201,7 @@
     answer: (result: WatchResult) => void,
   ): () => void {
     if (afterRevision < this.forgottenRevision) {
-      answer({ kind: 'history-lost' });
+      answer({ kind: 'history-lost', era: this.era });
       return () => undefined;
     }
     const finish = (result: WatchResult) => {
@@ -180,12 +213,12 @@
       const changes = this.changes
         .filter((entry) => entry.kind === kind && entry.revision > afterRevision && !entry.isHidden)
         .map(({ change }) => change);
-      finish({ kind: 'changes', changes, revision: this.revision });
+      finish({ kind: 'changes', changes, revision: this.revision, era: this.era });
     };
     const waiter: Waiter = {
       ...{ kind, afterRevision, answer: answerNow },
       endWithoutHistory: () => {
-        finish({ kind: 'history-lost' });
+        finish({ kind: 'history-lost', era: this.era });
       },
     };
     const timer = setTimeout(answerNow, waitMs);
--- a/packages/platform/src/client/http-client.ts
+++ b/packages/platform/src/client/http-client.ts
@@ -18,6 +18,8 @@
 export interface PlatformResponse {
   status: number;
   etag: string | undefined;
+  /** Headers by lower-case name; of a repeated header the first value. */
+  headers: ReadonlyMap<string, string>;
   text: string;
   elapsedMs: number;
 }
@@ -66,8 +68,8 @@
     request.signal?.addEventListener('abort', cancelRequest, { once: true });
     try {
       const { signal } = abortController;
-      const { status, etag, text } = await endOnAbort(fetchText(pool, request, signal), signal);
-      return { status, etag, text, elapsedMs: performance.now() - startedAt };
+      const response = await endOnAbort(fetchText(pool, request, signal), signal);
+      return { ...response, elapsedMs: performance.now() - startedAt };
     } catch (error) {
       if (isTimedOut) this.#replacePool(pool);
       if (request.signal?.aborted) throw new WatchAbortedError(request.operation);
@@ -119,10 +121,21 @@
   return {
     status: response.statusCode,
     etag: typeof etag === 'string' ? etag : undefined,
+    headers: toHeaderMap(response.headers),
     text: await response.body.text(),
   };
 }
 
+function toHeaderMap(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): ReadonlyMap<string, string> {
+  const entries = Object.entries(headers).flatMap(([name, value]): [string, string][] => {
+    const first = Array.isArray(value) ? value[0] : value;
+    return first === undefined ? [] : [[name, first]];
+  });
+  return new Map(entries);
+}
+
 /** Rejects when the signal aborts, since undici heeds it only once a connection is open. */
 async function endOnAbort<T>(promise: Promise<T>, signal: AbortSignal): Promise<T> {
   let abort: () => void = () => undefined;
