Show that instances miss changes after the store returns from a backup

The store returns from a backup with lower revisions, which instances compare with those from before it.

--- a/packages/gateway/test/reading-fleet.ts
+++ b/packages/gateway/test/reading-fleet.ts
@@ -148,6 +148,8 @@
   store: VirtualStore,
   serverId: string,
   state: 'ready' | 'draining' = 'ready',
+  heartbeats?: number,
 ): void {
-  store.put('servers', serverId, { ...makeServer(serverId, 'desk', 1), state });
+  const counted = heartbeats === undefined ? {} : { heartbeats };
+  store.put('servers', serverId, { ...makeServer(serverId, 'desk', 1), state, ...counted });
 }
--- a/packages/gateway/test/virtual-store.ts
+++ b/packages/gateway/test/virtual-store.ts
@@ -26,6 +26,13 @@
   isHidden: boolean;
 }
 
+/** Contents of the store at a moment. */
+export interface StoreBackup {
+  revision: number;
+  objects: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+  changes: readonly RecordedChange[];
+}
+
 interface Waiter {
   kind: string;
   afterRevision: number;
@@ -39,8 +46,8 @@
   readonly callTimes: number[] = [];
   era = 0;
   private revision = 1;
-  private readonly objects = new Map<string, Map<string, StoredObject>>();
-  private readonly changes: RecordedChange[] = [];
+  private objects = new Map<string, Map<string, StoredObject>>();
+  private changes: RecordedChange[] = [];
   private readonly waiters = new Set<Waiter>();
   /** Whether watches are not told of changes, although their answers bear the store's revision. */
   isDeaf = false;
@@ -67,6 +74,22 @@
     for (const waiter of [...this.waiters]) waiter.endWithoutHistory();
   }
 
+  takeBackup(): StoreBackup {
+    const { revision, changes } = this;
+    return { revision, objects: copyObjects(this.objects), changes: [...changes] };
+  }
+
+  /**
+   * Returns to a backup in a new era. Later writes are lost and their revisions are assigned again; open watches get no answer.
+   */
+  restore({ revision, objects, changes }: StoreBackup): void {
+    this.era += 1;
+    this.revision = revision;
+    this.objects = copyObjects(objects);
+    this.changes = [...changes];
+    this.waiters.clear();
+  }
+
   countCalls(fromMs: number, toMs: number): number {
     return this.callTimes.filter((atMs) => atMs >= fromMs && atMs < toMs).length;
   }
@@ -200,7 +223,7 @@
     waitMs: number,
     answer: (result: WatchResult) => void,
   ): () => void {
-    if (afterRevision < this.forgottenRevision) {
+    if (afterRevision < this.forgottenRevision || afterRevision > this.revision) {
       answer({ kind: 'history-lost', era: this.era });
       return () => undefined;
     }
@@ -248,3 +271,7 @@
     return objects;
   }
 }
+
+function copyObjects(objects: StoreBackup['objects']): Map<string, Map<string, StoredObject>> {
+  return new Map([...objects].map(([kind, byName]) => [kind, new Map(byName)]));
+}
