--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -17,6 +17,7 @@
 import { ServerAvailability } from './server-availability';
 import type { LeavingSource } from './server-availability';
 import type { ServerChange, ServerRegistry } from './server-registry';
+import type { StoreEraWatch } from './store-era-watch';
 import { StoreNews } from './store-news';
 import { INSTANCE_KIND } from './store-watchers';
 import type { TrafficMeter } from './traffic-meter';
@@ -27,6 +28,7 @@
   registry: ServerRegistry;
   loads: LoadTable;
   groups: InstanceGroups;
+  eras: StoreEraWatch;
   traffic: TrafficMeter;
   clock: Clock;
   log: GatewayLog;
@@ -56,8 +58,8 @@
   private instances: readonly PeerAddress[] = [];
 
   constructor(private readonly options: FleetExchangeOptions) {
-    const { settings, store, registry, loads, groups, traffic, clock, log, onPrompt, onLeaving } =
-      options;
+    const { settings, store, registry, loads, groups, traffic, clock, log } = options;
+    const { eras, onPrompt, onLeaving } = options;
     const { instanceId, address, peerPort } = settings;
     const socket = new PeerSocket({ address, port: peerPort, log, traffic });
     this.socket = socket;
@@ -81,6 +83,10 @@
       onOutage: (untilMs) => {
         registry.recordOutage(untilMs);
       },
+      onEra: (era) => {
+        eras.observeEra(era);
+      },
+      getSinceNewEraMs: (nowMs) => eras.getSinceNewEraMs(nowMs),
     });
     const publish: FleetGossip['publish'] = (key, build, urgency) => {
       this.gossip.publish(key, build, urgency);
@@ -92,6 +98,9 @@
       },
     });
     this.archive = new QuarantineArchive({ store, quarantine: this.quarantine, clock, log });
+    eras.onRaise(() => {
+      this.archive.handleNewEra();
+    });
     const getServer = (serverId: string) => registry.get(serverId);
     const listUsers = (onlyGroup: boolean) =>
       onlyGroup ? groups.selectMembers(this.instances) : this.instances;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -18,6 +18,9 @@
   serverCrashes: Counter<'service'>;
   leavingServers: Counter<'service' | 'source'>;
   serverPauses: Counter<'service'>;
+  /** New eras of the store by where the instance has learnt of them, and answers discarded for their era. */
+  storeEras: Counter<'source'>;
+  outdatedAnswers: Counter;
   /** Renders all metrics in the Prometheus text exposition format. */
   renderText(): Promise<string>;
 }
@@ -26,6 +29,7 @@
 export interface GatewayGauges {
   countQuarantinedTraits(): number;
   countLimitedServers(): number;
+  getStoreEra(): number;
 }
 
 /** Creates the metrics in a new registry. */
@@ -41,6 +45,10 @@
     name: 'pollendrum_limited_servers',
     help: 'Backend servers that name a limit in their answers.',
   });
+  createCountGauge(registry, gauges.getStoreEra, {
+    name: 'pollendrum_store_era',
+    help: 'Era of the store; it rises when the store returns from a backup. 0 for a store without eras.',
+  });
   return {
     requests: new Counter({
       name: 'pollendrum_requests_total',
@@ -85,6 +93,17 @@
       labelNames: ['service'],
       registers,
     }),
+    storeEras: new Counter({
+      name: 'pollendrum_store_eras_total',
+      help: 'Changes of the era of the store, by whether the store or another instance has shown them first.',
+      labelNames: ['source'],
+      registers,
+    }),
+    outdatedAnswers: new Counter({
+      name: 'pollendrum_outdated_store_answers_total',
+      help: 'Answers of the store that were discarded since they name an earlier era.',
+      registers,
+    }),
     leavingServers: new Counter({
       name: 'pollendrum_leaving_servers_total',
       help: 'Backend servers of which the instance has heard that they leave, by service and first source.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,19 +21,20 @@
 import type { GatewayContext } from './gateway-context';
 import { FleetExchange } from './fleet-exchange';
 import { createGatewayMetrics } from './gateway-metrics';
+import { InstanceAnnouncement } from './instance-announcement';
 import { HeaderCodec } from './header-codec';
 import type { HeaderNames } from './header-codec';
 import { KeyFreshness } from './key-freshness';
 import type { ReportedPrompt } from './load-report-codec';
 import { LimitObserver } from './limit-observer';
 import { LimitedAdmissions } from './limited-admissions';
-import type { PeerAddress } from './peer-socket';
 import type { GatewayLog } from './log-and-clock';
 import { RouteTable } from './route-table';
 import type { LeavingSource } from './server-availability';
 import { ServerChooser } from './server-chooser';
 import { ServerRegistry } from './server-registry';
 import type { ServerChange } from './server-registry';
+import { StoreEraWatch } from './store-era-watch';
 import { INSTANCE_KIND, StoreWatchers } from './store-watchers';
 import type { ObjectDecoders } from './store-watchers';
 import type { ObjectStore } from './object-store';
@@ -60,8 +61,6 @@
   'retryRatio',
   'retrySlack',
 ] as const satisfies readonly (keyof GatewaySettings)[];
-/** Delay before a failed announcement is retried, in milliseconds. */
-const ANNOUNCE_RETRY_MS = 1_000;
 /** Longest time for which the watches wait for the first announcement, in milliseconds. */
 const MAX_ANNOUNCE_DELAY_MS = 200;
 const DEFAULT_READINESS_PATH = '/readyz';
@@ -94,7 +93,7 @@
   private drainPromise: Promise<void> | undefined;
   private readonly context: GatewayContext;
   private readonly fleetExchange: FleetExchange;
-  private isAnnounced = false;
+  private readonly announcement: InstanceAnnouncement;
   private readonly storeWatchers: StoreWatchers;
   private readonly callerServer: ReturnType<typeof createCallerServer>;
   private readonly speeds = new SpeedTracker();
@@ -123,8 +122,18 @@
     const checkSuspension = () => {
       if (this.suspension.checkSuspension()) this.#handleSuspension();
     };
+    const eras = new StoreEraWatch({
+      ...{ clock, log },
+      onRaise: (_, source) => {
+        metrics.storeEras.inc({ source });
+      },
+      onOutdated: () => {
+        metrics.outdatedAnswers.inc();
+      },
+    });
+    this.announcement = createAnnouncement(options);
     this.fleetExchange = new FleetExchange({
-      ...{ settings, store: options.store, registry, loads, groups, traffic, clock, log },
+      ...{ settings, store: options.store, registry, loads, groups, eras, traffic, clock, log },
       checkSuspension,
       onPrompt: (prompt) => {
         this.#handlePeerPrompt(prompt);
@@ -137,6 +146,7 @@
     const metrics = createGatewayMetrics(traffic, {
       countQuarantinedTraits: () => quarantine.countQuarantined(),
       countLimitedServers: () => limitSharing.countLimited(),
+      getStoreEra: () => eras.getEra(),
     });
     this.context = {
       settings,
@@ -205,7 +215,7 @@
     this.trafficLog = new TrafficLog(traffic, log);
     this.callerServer = createCallerServer(this.context);
     this.storeWatchers = new StoreWatchers({
-      ...{ store: options.store, decoders: options.decoders, log, clock, registry },
+      ...{ store: options.store, decoders: options.decoders, log, clock, registry, eras },
       keyFreshness: this.context.keyFreshness,
       ...{ news: this.fleetExchange.storeNews, checkSuspension },
       onBundle: (bundle, revision) => {
@@ -214,10 +224,10 @@
       onRegain: () => {
         this.fleetExchange.requestMissedFacts();
       },
-      onInstances: (instances) => {
+      onInstances: (instances, missing) => {
         groups.update(instances.map(({ instanceId }) => instanceId));
         this.fleetExchange.setInstances(instances);
-        this.#checkAnnouncement(instances);
+        this.announcement.checkAnnounced(instances, missing);
       },
     });
   }
@@ -237,7 +247,7 @@
       await this.#openPort(createMetricsServer(this.context), settings.metricsAddress);
     }
     // An instance that finds itself among the announced ones knows whether it is to read the store.
-    await Promise.race([this.#announce(), sleep(MAX_ANNOUNCE_DELAY_MS)]);
+    await Promise.race([this.announcement.announce(), sleep(MAX_ANNOUNCE_DELAY_MS)]);
     this.storeWatchers.start();
     this.fleetExchange.start();
     log.info('gateway started', {
@@ -284,6 +294,7 @@
 
   async #drainOnce(): Promise<void> {
     this.isDraining = true;
+    this.announcement.stop();
     const { settings, log, store } = this.options;
     const startedAtMs = this.context.clock();
     log.info('gateway is draining', { openRequests: this.callerServer.countOpenRequests() });
@@ -312,6 +323,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     clearTimeout(this.removalTimer);
+    this.announcement[Symbol.dispose]();
     this.trafficLog[Symbol.dispose]();
     await this.storeWatchers[Symbol.asyncDispose]();
     await this.fleetExchange[Symbol.asyncDispose]();
@@ -323,16 +335,6 @@
     await this.options.store[Symbol.asyncDispose]();
   }
 
-  /** Announces the instance again if others have removed it while they could not reach it. */
-  #checkAnnouncement(instances: readonly PeerAddress[]): void {
-    const { log, settings } = this.options;
-    const wasAnnounced = this.isAnnounced;
-    this.isAnnounced = instances.some(({ instanceId }) => instanceId === settings.instanceId);
-    if (!wasAnnounced || this.isAnnounced || this.isDraining) return;
-    log.warn('the announcement of the instance is gone; it is announced again');
-    void this.#announce();
-  }
-
   /** Judges the readiness for the load balancer and logs when it has changed since the check before. */
   #checkReadiness(): boolean {
     const isReady = this.isReady();
@@ -349,21 +351,6 @@
     return isReady;
   }
 
-  async #announce(): Promise<void> {
-    const { settings, store, log } = this.options;
-    const { address, peerPort: port, failureDomain } = settings;
-    const spec = { address, port, failureDomain, isWatchable: true, isReaderCandidate: true };
-    while (!this.isDraining) {
-      try {
-        await store.putObject(INSTANCE_KIND, settings.instanceId, spec);
-        return;
-      } catch (error) {
-        log.warn('failed to announce the instance; retrying', { error: String(error) });
-        await sleep(ANNOUNCE_RETRY_MS);
-      }
-    }
-  }
-
   async #openPort(server: Server, address: string): Promise<void> {
     this.httpServers.push(server);
     const separator = address.lastIndexOf(':');
@@ -473,6 +460,12 @@
   return Number.isFinite(durationMs) ? Math.round(durationMs) : undefined;
 }
 
+function createAnnouncement({ settings, store, log }: GatewayOptions): InstanceAnnouncement {
+  const { instanceId, address, peerPort: port, failureDomain } = settings;
+  const spec = { address, port, failureDomain, isWatchable: true, isReaderCandidate: true };
+  return new InstanceAnnouncement({ instanceId, kind: INSTANCE_KIND, spec, store, log });
+}
+
 function createReadinessServer(settings: GatewaySettings, isReady: () => boolean): Server {
   const path = settings.readinessPath ?? DEFAULT_READINESS_PATH;
   return createServer((request, response) => {
--- a/packages/gateway/src/gossip-codec.ts
+++ b/packages/gateway/src/gossip-codec.ts
@@ -1,5 +1,6 @@
 import { decodeCbor, encodeCbor, isValidGossipMessage } from '@pollendrum/protocol';
-import type { GossipMessage, GossipUpdate } from '@pollendrum/protocol';
+import type { GossipMessage, GossipUpdate, ServerRemovedUpdate } from '@pollendrum/protocol';
+import type { ServerRemoval } from './server-registry';
 import type { LimitFact, RequestTrait, TraitFact } from '@pollendrum/policy';
 
 /** A fact as it travels between instances. */
@@ -12,12 +13,8 @@
   serverKey: string;
 }
 
-/** The entry of a backend server has been removed. Entries of the server with a later revision of the store hold. */
-export interface RemovedFact {
-  kind: 'removed';
-  serverId: string;
-  revision: number;
-}
+/** The entry of a backend server has been removed. Entries that the server has written later hold. */
+export type RemovedFact = { kind: 'removed' } & ServerRemoval;
 
 /** A fact about a trait with its age instead of its time, since the instances' clocks differ. */
 export type AgedTraitFact = { ageMs: number } & (
@@ -99,7 +96,7 @@
     case 'leaving':
       return ['leaving', fact.serverKey];
     case 'removed':
-      return ['removed', fact.serverId, fact.revision];
+      return encodeRemoval(fact);
     case 'limit':
       return ['limit', fact.serverKey, fact.version, fact.requestsPerSecond ?? null];
   }
@@ -118,7 +115,7 @@
     case 'leaving':
       return { kind: 'leaving', serverKey: update[1] };
     case 'removed':
-      return { kind: 'removed', serverId: update[1], revision: update[2] };
+      return decodeRemoval(update);
     case 'limit':
       return {
         ...{ kind: 'limit', serverKey: update[1], version: update[2] },
@@ -126,3 +123,18 @@
       };
   }
 }
+
+/** Leaves out an era of 0 with what only later eras need; instances of the version before eras do not know them. */
+function encodeRemoval({ serverId, position, start }: RemovedFact): ServerRemovedUpdate {
+  const { era, revision } = position;
+  if (era === 0) return ['removed', serverId, revision];
+  const { startedAtUnixMs = null, heartbeats = null } = start ?? {};
+  return ['removed', serverId, revision, [era, startedAtUnixMs, heartbeats]];
+}
+
+function decodeRemoval([, serverId, revision, origin]: ServerRemovedUpdate): RemovedFact {
+  const [era, startedAt, heartbeats] = origin ?? [0, null, null];
+  const counted = heartbeats === null ? {} : { heartbeats };
+  const start = startedAt === null ? undefined : { startedAtUnixMs: startedAt, ...counted };
+  return { kind: 'removed', serverId, position: { era, revision }, start };
+}
--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -1,9 +1,18 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ChangeLog } from './change-log';
-import type { SharedChange } from './change-log';
+import type { ChangeStep, SharedChange } from './change-log';
 import type { Clock, GatewayLog } from './log-and-clock';
-import type { ListingConsistency, ObjectChange, ObjectListing, ObjectStore } from './object-store';
+import type {
+  ListingConsistency,
+  ObjectChange,
+  ObjectListing,
+  ObjectStore,
+  StoreEra,
+} from './object-store';
+import { StoreEraWatch } from './store-era-watch';
 import type { KindNews } from './store-message-codec';
+import { compareStorePositions, isAfter, selectLater } from './store-position';
+import type { StorePosition } from './store-position';
 
 /**
  * Longest wait of a watch call of a watcher that sets no `waitMs`, in milliseconds. Such a watcher detects a connection
@@ -33,11 +42,21 @@
  */
 const MAX_RETRY_INTERVAL_MS = 400;
 
+/**
+ * Shortest interval between calls while many objects are written again after a return of the store, in milliseconds. Each of
+ * these writes would end the watches of all readers.
+ */
+const SETTLING_INTERVAL_MS = 500;
+/** Time after a new era in which the operator and the servers write again what the backup lacks, in milliseconds. */
+const SETTLING_MS = 5_000;
+
 export interface KindWatcherOptions {
   store: ObjectStore;
   kind: string;
   log: GatewayLog;
   clock: Clock;
+  /** Eras of the store, shared by all watchers of an instance; by default the watcher has its own. */
+  eras?: StoreEraWatch;
   /**
    * Longest wait of one watch call in milliseconds.
    * @default 2_200
@@ -49,13 +68,20 @@
    * @default 300
    */
   waitAfterChangesMs?: number;
-  onListing(listing: ObjectListing): void;
-  onChange(change: ObjectChange): void;
   /**
-   * Called when all changes that were available to a watch at this time of the monotonic clock have been received. `revision` is
+   * Time from a new era of the store until the objects are listed again, in milliseconds.
+   * @default 0
+   */
+  newEraDelayMs?: number;
+  /** @param changes differences from what was known; empty for the first listing */
+  onListing(listing: ObjectListing, changes: readonly ObjectChange[]): void;
+  /** @param position of the change in the sequence of changes */
+  onChange(change: ObjectChange, position: StorePosition): void;
+  /**
+   * Called when all changes that were available to a watch at this time of the monotonic clock have been received. `position` is
    * that of the store, of changes of all kinds, at that time or later; undefined if another instance has told the sync.
    */
-  onSync?(syncedAtMs: number, revision: number | undefined): void;
+  onSync?(syncedAtMs: number, position: StorePosition | undefined): void;
   /**
    * Called when a call has failed or was answered late. The outage lasted at least until `untilMs` of the monotonic clock; when
    * it ended is not known.
@@ -87,9 +113,9 @@
 
 /**
  * `applied`: the objects include the news; `gap`: changes before it are missing; `unavailable`: the sender does not have the
- * changes that are missing; `not-listed`: the objects have not been listed yet.
+ * changes that are missing; `not-listed`: the objects have not been listed yet; `outdated`: the news is from an earlier era.
  */
-export type NewsResult = 'applied' | 'gap' | 'unavailable' | 'not-listed';
+export type NewsResult = 'applied' | 'gap' | 'unavailable' | 'not-listed' | 'outdated';
 
 /**
  * `lost`: a call has failed for the first time; `regained`: a call has succeeded after one that failed. `startedAtMs` is when
@@ -102,13 +128,19 @@
  * has the change history.
  */
 export class KindWatcher implements AsyncDisposable {
-  private revision: number | undefined;
+  /** Moment of the store up to which all changes are known; undefined before the objects are listed. */
+  private position: StorePosition | undefined;
+  /** Whether the objects must be listed again, since changes may have been missed. */
+  private mustList = false;
+  private isListing = false;
   private consecutiveFailures = 0;
   private disconnectedAtMs: number | undefined;
   private nextWaitMs = 0;
   private syncedAtMs = -Infinity;
   private answeredAtMs = -Infinity;
   private callStartedAtMs = -Infinity;
+  /** Start of the last watch call. */
+  private watchedAtMs = -Infinity;
   /** Time from which the objects are not known to be complete; undefined while they are. */
   private unsyncedSinceMs: number | undefined;
   /** Ends the present call, or the pause after one that failed. */
@@ -122,9 +154,16 @@
   private wasSynced = false;
   private isDisposed = false;
   private readonly changeLog = new ChangeLog();
+  private readonly eras: StoreEraWatch;
   private runPromise: Promise<void> | undefined;
 
-  constructor(private readonly options: KindWatcherOptions) {}
+  constructor(private readonly options: KindWatcherOptions) {
+    const { clock, log } = options;
+    this.eras = options.eras ?? new StoreEraWatch({ clock, log });
+    this.eras.onRaise(() => {
+      this.#handleNewEra();
+    });
+  }
 
   start(): void {
     this.runPromise ??= this.#run();
@@ -164,15 +203,15 @@
     return nowMs - this.syncedAtMs;
   }
 
-  /** Revision up to which all changes are known; undefined before the objects are listed. */
-  getPosition(): number | undefined {
-    return this.revision;
+  /** Moment of the store up to which all changes are known; undefined before the objects are listed. */
+  getPosition(): StorePosition | undefined {
+    return this.position;
   }
 
-  /** Lists the changes after a revision; undefined when some are not kept any more. */
-  listChangesSince(revision: number): readonly SharedChange[] | undefined {
-    const since = this.changeLog.listSince(revision);
-    return since.kind === 'changes' ? since.changes : undefined;
+  /** Lists the changes after a moment, one step for each era; undefined when some are not kept any more. */
+  listChangesSince(position: StorePosition): readonly ChangeStep[] | undefined {
+    const since = this.changeLog.listSince(position);
+    return since.kind === 'changes' ? since.steps : undefined;
   }
 
   /**
@@ -182,31 +221,36 @@
    * known
    */
   applyNews(news: KindNews, syncedAtMs: number | undefined): NewsResult {
-    const { revision } = this;
-    if (revision === undefined) return 'not-listed';
-    if (news.fromRevision > revision) return 'gap';
-    if (news.changes === undefined) return news.toRevision > revision ? 'unavailable' : 'applied';
-    const changes = news.changes.filter(({ position }) => position > revision);
+    const { position } = this;
+    if (position === undefined) return 'not-listed';
+    if (news.to.era < this.eras.getEra() && news.to.era < position.era) return 'outdated';
+    if (isAfter(news.from, position)) return 'gap';
+    const isNewer = isAfter(news.to, position);
+    if (news.changes === undefined) return isNewer ? 'unavailable' : 'applied';
+    if (isNewer && this.#hasDiverged(news, position)) return 'unavailable';
+    const changes = news.changes.filter((change) => isAfter(change.position, position));
     for (const shared of changes) {
       const change = this.changeLog.decode(shared);
       if (change === undefined) return 'unavailable';
       this.#takeIn(change, shared);
-      this.revision = shared.position;
     }
-    this.revision = Math.max(revision, news.toRevision);
+    if (isNewer) this.changeLog.recordCrossing(position, news.to);
+    this.position = selectLater(position, news.to);
     // A call from before the news would bring back what it has replaced.
     if (changes.length > 0 && !this.isParked) this.interruption.abort();
+    if (news.to.era < this.eras.getEra()) return 'outdated';
     if (syncedAtMs !== undefined && syncedAtMs > this.syncedAtMs) this.#recordNewsSync(syncedAtMs);
     return 'applied';
   }
 
   /**
-   * Takes in the revision that the store had at a time or later, which another watcher has been told. If this one knows all
-   * changes up to it, it is in sync as well; otherwise its changes have been on their way since then, or its call is lost.
+   * Takes in the moment of the store at a time or later, which another watcher has been told. If this one knows all changes up
+   * to it, it is in sync as well; otherwise its changes have been on their way since then, or its call is lost.
    */
-  observeRevision(revision: number, syncedAtMs: number): void {
-    if (this.revision === undefined || this.isParked) return;
-    if (revision <= this.revision) {
+  observePosition(told: StorePosition, syncedAtMs: number): void {
+    const { position } = this;
+    if (position === undefined || this.isParked) return;
+    if (position.era === told.era && told.revision <= position.revision) {
       if (syncedAtMs > this.syncedAtMs) this.#recordSync(syncedAtMs, undefined);
       return;
     }
@@ -244,9 +288,9 @@
       const { signal } = this.interruption;
       this.callStartedAtMs = this.options.clock();
       try {
-        if (this.revision === undefined) await this.#list(signal);
+        if (this.position === undefined || this.mustList) await this.#list(signal);
         else if (this.#isFollowing()) await this.#waitWhileFollowing(signal);
-        else if (await this.#waitForTurn(signal)) await this.#watch(this.revision, signal);
+        else if (await this.#waitForTurn(signal)) await this.#read(this.position, signal);
       } catch (error) {
         if (!signal.aborted) await this.#handleFailure(error, signal);
       }
@@ -284,71 +328,96 @@
     return !signal.aborted && !this.#isFollowing();
   }
 
+  /** Reads the changes, or all objects if the ones that are known are of an earlier era. */
+  async #read(position: StorePosition, signal: AbortSignal): Promise<void> {
+    if (position.era === this.eras.getEra()) {
+      await this.#watch(position, signal);
+      return;
+    }
+    const { clock, newEraDelayMs = 0 } = this.options;
+    const delayMs = newEraDelayMs - this.eras.getSinceNewEraMs(clock());
+    if (delayMs > 0) await sleep(delayMs, undefined, { signal }).catch(() => undefined);
+    this.callStartedAtMs = clock();
+    if (!signal.aborted) await this.#list(signal);
+  }
+
   async #list(signal: AbortSignal): Promise<void> {
     const { store, kind, clock, log } = this.options;
     const startedAtMs = this.callStartedAtMs;
     const consistency = this.hasListed ? 'latest' : (this.options.firstListing ?? 'latest');
-    const listing = await store.listObjects(kind, signal, consistency);
+    this.isListing = true;
+    const told = await store.listObjects(kind, signal, consistency).finally(() => {
+      this.isListing = false;
+    });
     this.options.checkSuspension?.();
     if (signal.aborted) return;
+    this.#judgeEra(told.era, startedAtMs);
     this.#markConnected(clock());
-    this.revision = listing.revision;
-    this.changeLog.recordListing(listing);
+    const known = this.position;
+    const { revision } = told;
+    const listing = { ...told, era: this.eras.getEra() };
+    const changes = this.changeLog.recordListing(listing, known);
+    this.position = { era: listing.era, revision };
+    this.mustList = false;
     const isLatest = consistency === 'latest';
     this.nextWaitMs = isLatest ? this.#getWaitAfterChangesMs() : WAIT_AFTER_FAILURE_MS;
     log.info('listed objects of the store', {
-      kind,
-      count: listing.objects.length,
-      revision: listing.revision,
+      ...{ kind, count: listing.objects.length, revision, era: listing.era },
+      ...(known === undefined ? {} : { changes: changes.length }),
     });
-    this.options.onListing(listing);
-    if (isLatest) this.#recordSync(startedAtMs, listing.revision);
+    this.options.onListing(listing, known === undefined ? [] : changes);
+    if (isLatest) this.#recordSync(startedAtMs, this.position);
     this.hasListed = true;
     this.options.onListed?.();
+    if (known !== undefined) this.options.onRead?.();
   }
 
-  async #watch(afterRevision: number, signal: AbortSignal): Promise<void> {
+  async #watch(after: StorePosition, signal: AbortSignal): Promise<void> {
     const { store, kind, clock, log } = this.options;
+    await this.#waitWhileSettling(signal);
+    if (signal.aborted) return;
     const waitMs = Math.min(this.nextWaitMs, this.options.waitMs ?? DEFAULT_WAIT_MS);
     const startedAtMs = this.callStartedAtMs;
-    const result = await store.watchObjects(kind, afterRevision, waitMs, signal);
+    const result = await store.watchObjects(kind, after.revision, waitMs, signal);
     this.options.checkSuspension?.();
     if (signal.aborted) return;
     const nowMs = clock();
     if (nowMs - startedAtMs > waitMs + LATE_RESPONSE_MS) {
       this.options.onOutage?.(nowMs - MAX_DELIVERY_DELAY_MS);
     }
+    this.#judgeEra(result.era, startedAtMs);
     this.#markConnected(nowMs);
-    if (result.kind === 'history-lost') {
+    const isNewEra = after.era < this.eras.getEra();
+    if (result.kind === 'history-lost' || isNewEra) {
       log.warn('change history of the store is gone; listing all objects again', {
-        kind,
-        revision: afterRevision,
+        ...{ kind, revision: after.revision, era: after.era },
       });
-      this.revision = undefined;
+      this.mustList = true;
       this.unsyncedSinceMs ??= startedAtMs;
       return;
     }
-    this.revision = Math.max(afterRevision, result.revision);
-    for (const change of result.changes) this.#takeIn(change);
+    const { era } = after;
+    this.position = { era, revision: Math.max(after.revision, result.revision) };
+    for (const change of result.changes) this.#takeIn(change, era);
     if (result.changes.length > 0) this.options.onRead?.();
     const isEmpty = result.changes.length === 0;
     this.nextWaitMs = isEmpty ? Infinity : this.#getWaitAfterChangesMs();
     // A response can be delayed in transit. An empty response was written no earlier than the end of the wait;
     // a response with changes may have been written as early as the start of the call.
     const syncedAtMs = isEmpty ? Math.min(nowMs, startedAtMs + waitMs) : startedAtMs;
-    this.#recordSync(syncedAtMs, this.revision);
+    this.#recordSync(syncedAtMs, this.position);
   }
 
   #getWaitAfterChangesMs(): number {
     return this.options.waitAfterChangesMs ?? DEFAULT_WAIT_AFTER_CHANGES_MS;
   }
 
-  #recordSync(syncedAtMs: number, revision: number | undefined): void {
+  #recordSync(syncedAtMs: number, position: StorePosition | undefined): void {
     this.syncedAtMs = Math.max(this.syncedAtMs, syncedAtMs);
     this.unsyncedSinceMs = undefined;
     this.wasSynced = true;
     this.mustRead = false;
-    this.options.onSync?.(syncedAtMs, revision);
+    this.options.onSync?.(syncedAtMs, position);
   }
 
   /** A sync that another instance has told; this one is in contact with the store through it. */
@@ -359,22 +428,63 @@
     if (this.#isFollowing()) this.#markConnected(syncedAtMs);
   }
 
-  #takeIn(change: ObjectChange, shared?: SharedChange): void {
+  /** @param shared the change as another instance has handed it on, or the era in which it was read from the store */
+  #takeIn(change: ObjectChange, shared: SharedChange | StoreEra): void {
     this.changeLog.record(change, shared);
-    this.#applyChange(change);
+    const revision = change.kind === 'put' ? change.object.revision : change.revision;
+    this.#applyChange(
+      change,
+      typeof shared === 'number' ? { era: shared, revision } : shared.position,
+    );
   }
 
   /** Applies a change. One that cannot be applied does not keep back the others, which no later watch would deliver. */
-  #applyChange(change: ObjectChange): void {
+  #applyChange(change: ObjectChange, position: StorePosition): void {
     const { log, kind, onChange } = this.options;
     try {
-      onChange(change);
+      onChange(change, position);
     } catch (error) {
       const name = change.kind === 'put' ? change.object.name : change.name;
       log.error('a change of the store cannot be applied', { kind, name, error: String(error) });
     }
   }
 
+  /** Begins to read the new era if this watcher reads the store; another one may have learnt of it. */
+  #handleNewEra(): void {
+    if (this.position === undefined || this.isParked || this.isListing) return;
+    this.unsyncedSinceMs ??= Math.max(this.callStartedAtMs, this.syncedAtMs);
+    this.interruption.abort();
+  }
+
+  /** Throws if an answer dates from before the store returned from a backup. */
+  #judgeEra(era: StoreEra, calledAtMs: number): void {
+    const judgement = this.eras.judgeAnswer({
+      ...{ era, calledAtMs, answeredAtMs: this.options.clock() },
+    });
+    if (judgement !== 'outdated') return;
+    throw new Error(`answer of era ${era}, which is before ${this.eras.getEra()}`);
+  }
+
+  /**
+   * Whether news of a new era does not follow from what this watcher knows: it knows changes that the sender did not know when
+   * the era ended, or has entered the new era before the sender.
+   */
+  #hasDiverged({ from, to }: KindNews, position: StorePosition): boolean {
+    if (from.era === to.era || compareStorePositions(from, position) === 0) return false;
+    return this.changeLog.hasChangesAfter(from);
+  }
+
+  /** Lets the writes of a moment be collected while many objects are written again. */
+  async #waitWhileSettling(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    const waitMs = this.watchedAtMs + SETTLING_INTERVAL_MS - clock();
+    if (waitMs > 0 && this.eras.getSinceNewEraMs(clock()) < SETTLING_MS) {
+      await sleep(waitMs, undefined, { signal }).catch(() => undefined);
+      this.callStartedAtMs = clock();
+    }
+    if (!signal.aborted) this.watchedAtMs = clock();
+  }
+
   #markConnected(answeredAtMs: number): void {
     const { log, kind, clock, onContactChange } = this.options;
     const disconnectedAtMs = this.disconnectedAtMs;
@@ -405,7 +515,7 @@
     this.unsyncedSinceMs ??= clock();
     if (isFirst) {
       this.disconnectedAtMs = clock();
-      log.warn('store lost', { kind, error: String(error), revision: this.revision });
+      log.warn('store lost', { kind, error: String(error), ...this.position });
       onContactChange?.({ kind: 'lost' });
     }
     await sleep(backoffMs, undefined, { signal }).catch(() => undefined);
--- a/packages/gateway/src/quarantine-archive.ts
+++ b/packages/gateway/src/quarantine-archive.ts
@@ -9,7 +9,10 @@
 
 export interface QuarantineArchiveOptions {
   store: Pick<ObjectStore, 'listObjects' | 'putObject' | 'removeObject'>;
-  quarantine: Pick<RequestQuarantine, 'mergeFact' | 'listHeldBackCrashes' | 'computeInstanceRank'>;
+  quarantine: Pick<
+    RequestQuarantine,
+    'mergeFact' | 'listHeldBack' | 'listHeldBackCrashes' | 'computeInstanceRank'
+  >;
   clock: Clock;
   log: GatewayLog;
 }
@@ -22,6 +25,11 @@
 const WRITE_DELAY_MS = 200;
 /** Time after which a call that failed is made again, in milliseconds. */
 const RETRY_DELAY_MS = 1_000;
+/**
+ * Longest time after which records that the store may have lost are written again, in milliseconds. The instances that write
+ * them choose different moments.
+ */
+const MAX_REWRITE_DELAY_MS = 3_000;
 /** Crashes that a record holds; of more the last ones are kept. */
 const MAX_CRASHES = 64;
 const NAME_HEX_DIGITS = 16;
@@ -53,6 +61,17 @@
     this.#schedule(WRITE_DELAY_MS);
   }
 
+  /** Writes all records again that are left to this instance, since the store has returned from a backup that may lack them. */
+  handleNewEra(): void {
+    const { quarantine } = this.options;
+    const traits = quarantine
+      .listHeldBack()
+      .filter((trait) => quarantine.computeInstanceRank(trait) < WRITER_COUNT);
+    if (traits.length === 0) return;
+    for (const trait of traits) this.pending.add(trait);
+    this.#schedule(Math.random() * MAX_REWRITE_DELAY_MS);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.isDisposed = true;
     clearTimeout(this.timer);
--- a/packages/gateway/src/removal-sharing.ts
+++ b/packages/gateway/src/removal-sharing.ts
@@ -6,7 +6,7 @@
 export interface RemovalSharingOptions {
   /** Spreads the news that an entry has been removed. */
   publish: FleetGossip['publish'];
-  registry: Pick<ServerRegistry, 'removeAtRevision'>;
+  registry: Pick<ServerRegistry, 'removeAsTold'>;
   clock: Clock;
 }
 
@@ -28,18 +28,20 @@
     const { serverId } = change.server;
     this.removals.delete(serverId);
     if (change.kind !== 'removed') return;
-    const { revision } = change;
+    const { position, server } = change;
     // Another writer's entry may have any revision.
-    if (revision === undefined || !Number.isSafeInteger(revision)) return;
-    const fact: RemovedFact = { kind: 'removed', serverId, revision };
+    if (position === undefined || !Number.isSafeInteger(position.revision)) return;
+    const { startedAtUnixMs, heartbeats } = server;
+    const start = { startedAtUnixMs, ...(heartbeats === undefined ? {} : { heartbeats }) };
+    const fact: RemovedFact = { kind: 'removed', serverId, position, start };
     this.removals.set(serverId, { fact, atMs: this.options.clock() });
     this.#discardOld();
     this.options.publish(`removed ${serverId}`, () => this.removals.get(serverId)?.fact);
   }
 
   /** Takes in a fact of another instance. */
-  mergeFact({ serverId, revision }: RemovedFact): void {
-    this.options.registry.removeAtRevision(serverId, revision);
+  mergeFact({ serverId, position, start }: RemovedFact): void {
+    this.options.registry.removeAsTold({ serverId, position, start });
   }
 
   /** Lists the removals of the last `TOLD_FOR_MS`, the newest first. */
--- a/packages/gateway/src/request-quarantine.ts
+++ b/packages/gateway/src/request-quarantine.ts
@@ -83,6 +83,11 @@
     return this.evidence.isQuarantined(trait) ? this.evidence.listCrashFacts(trait) : [];
   }
 
+  /** Lists the traits that are held back. */
+  listHeldBack(): RequestTrait[] {
+    return [...this.evidence.getQuarantined()];
+  }
+
   /** Position of this instance in the order of a trait, by which instances divide the work that one of them can do. */
   computeInstanceRank(trait: RequestTrait): number {
     return computeInstanceRank(trait, this.#getRankedInstance());
--- a/packages/gateway/src/store-message-codec.ts
+++ b/packages/gateway/src/store-message-codec.ts
@@ -1,14 +1,21 @@
 import { decodeCbor, encodeCbor, isValidStoreMessage } from '@pollendrum/protocol';
-import type { StoreChange } from '@pollendrum/protocol';
+import type {
+  StoreChange,
+  StoreKindNews,
+  StorePosition as PositionEntry,
+} from '@pollendrum/protocol';
 import { measureChange } from './change-log';
 import type { SharedChange } from './change-log';
+import type { StoreEra } from './object-store';
+import { compareStorePositions } from './store-position';
+import type { StorePosition } from './store-position';
 
 /** Changes of one kind of object as an instance tells them to another one. */
 export interface KindNews {
   kind: string;
-  /** Revision after which the changes begin, and up to which they are complete. */
-  fromRevision: number;
-  toRevision: number;
+  /** Moment after which the changes begin, and up to which they are complete. All changes are of the era of `to`. */
+  from: StorePosition;
+  to: StorePosition;
   /**
    * Time since the sender's objects were known to be complete, in milliseconds; undefined if they are not, or if more changes
    * follow.
@@ -16,13 +23,21 @@
   ageMs: number | undefined;
   /** Undefined if the sender does not have the changes. */
   changes: readonly SharedChange[] | undefined;
+  /** Set if the changes are a part of those of one moment, which can only be taken in together. */
+  part?: NewsPart;
+}
+
+/** Number of a part, from 0 on, and the number of all parts. */
+export interface NewsPart {
+  index: number;
+  count: number;
 }
 
 /** What an instance knows of a kind of object. */
 export interface KindPosition {
   kind: string;
-  /** Revision of the store up to which it knows all changes. */
-  revision: number;
+  /** Moment of the store up to which it knows all changes. */
+  position: StorePosition;
   /** Time since its objects were known to be complete, in milliseconds; undefined if they are not. */
   ageMs: number | undefined;
 }
@@ -53,16 +68,19 @@
 const KIND_OVERHEAD_BYTES = 40;
 /** Changes and messages in one answer; an instance that lacks more reads them from the store. */
 const MAX_CHANGES_PER_MESSAGE = 64;
-const MAX_MESSAGES = 8;
+const MAX_MESSAGES = 24;
+/**
+ * Messages for the changes of one moment, such as the differences of a listing after the store has returned from a backup; they
+ * hold those of 300 servers. Each instance would list the objects otherwise.
+ */
+const MAX_PARTS = 32;
 const BASE64_GROWTH = 4 / 3;
 
 export function encodeStoreMessage(message: StoreMessageContent): Buffer {
   const { questionId, instanceId } = message;
   switch (message.kind) {
     case 'question': {
-      const positions = message.positions.map(({ kind, revision, ageMs }) => [
-        ...[kind, revision, encodeAge(ageMs)],
-      ]);
+      const positions = message.positions.map(encodePosition);
       return encodeCbor(['question', [questionId, instanceId, positions]]);
     }
     case 'news': {
@@ -83,17 +101,12 @@
   switch (message[0]) {
     case 'question': {
       const [questionId, instanceId, entries] = message[1];
-      const positions = entries.map(([kind, revision, ageMs]) => ({
-        ...{ kind, revision, ageMs: ageMs ?? undefined },
-      }));
+      const positions = entries.map(decodePosition);
       return { kind: 'message', message: { kind: 'question', questionId, instanceId, positions } };
     }
     case 'news': {
       const [questionId, instanceId, encoded] = message[1];
-      const news = encoded.map(([kind, fromRevision, toRevision, ageMs, changes]) => ({
-        ...{ kind, fromRevision, toRevision, ageMs: ageMs ?? undefined },
-        changes: changes?.map(decodeChange),
-      }));
+      const news = encoded.map(decodeKindNews);
       return {
         kind: 'message',
         message: { kind: 'news', questionId, instanceId, news },
@@ -124,37 +137,86 @@
 }
 
 function splitKindNews(news: KindNews): KindNews[] {
-  const { changes, ageMs, toRevision } = news;
+  const { changes, ageMs, to } = news;
   if (changes === undefined) return [news];
-  const parts: SharedChange[][] = [[]];
-  let bytes = KIND_OVERHEAD_BYTES;
-  for (const change of changes) {
-    const size = measureEncoded(change);
-    if (size > MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES - KIND_OVERHEAD_BYTES) {
-      return [{ ...news, ageMs: undefined, changes: undefined }];
-    }
-    const isFull = bytes + size > MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES;
-    if (isFull || parts.at(-1)?.length === MAX_CHANGES_PER_MESSAGE) {
-      parts.push([]);
-      bytes = KIND_OVERHEAD_BYTES;
-    }
-    parts.at(-1)?.push(change);
-    bytes += size;
-  }
-  if (parts.length > MAX_MESSAGES) return [{ ...news, ageMs: undefined, changes: undefined }];
-  let fromRevision = news.fromRevision;
-  return parts.map((part, index) => {
+  const withheld = [{ ...news, ageMs: undefined, changes: undefined }];
+  const parts = splitChanges(changes);
+  if (parts === undefined) return withheld;
+  const ordinary = parts.filter(({ part }) => part === undefined);
+  if (ordinary.length > MAX_MESSAGES || parts.length > MAX_PARTS) return withheld;
+  let { from } = news;
+  return parts.map(({ changes: split, part }, index) => {
     const isLast = index === parts.length - 1;
-    const endRevision = isLast ? toRevision : (part.at(-1)?.position ?? fromRevision);
-    const split = {
-      ...{ kind: news.kind, fromRevision, toRevision: endRevision },
-      ...{ ageMs: isLast ? ageMs : undefined, changes: part },
-    };
-    fromRevision = endRevision;
-    return split;
+    const end = isLast ? to : (split.at(-1)?.position ?? from);
+    const ages = { ageMs: isLast ? ageMs : undefined };
+    const result = { kind: news.kind, from, to: end, ...ages, changes: split };
+    const isContinued = part !== undefined && part.index < part.count - 1;
+    if (!isContinued) from = end;
+    return part === undefined ? result : { ...result, part };
   });
 }
 
+interface ChangesPart {
+  changes: SharedChange[];
+  part: NewsPart | undefined;
+}
+
+/** Splits changes so that those of one moment stay together or are numbered; undefined if one does not fit into a message. */
+function splitChanges(changes: readonly SharedChange[]): ChangesPart[] | undefined {
+  const parts: ChangesPart[] = [{ changes: [], part: undefined }];
+  for (const moment of groupByPosition(changes)) {
+    const last = parts.at(-1);
+    if (
+      last?.part === undefined &&
+      last !== undefined &&
+      isWithinLimits([...last.changes, ...moment])
+    ) {
+      last.changes.push(...moment);
+      continue;
+    }
+    const pieces = splitMoment(moment);
+    if (pieces === undefined) return undefined;
+    const count = pieces.length;
+    const isSplit = count > 1;
+    const numbered = pieces.map((piece, index) => ({
+      ...{ changes: piece, part: isSplit ? { index, count } : undefined },
+    }));
+    if (last?.changes.length === 0) parts.pop();
+    parts.push(...numbered);
+  }
+  return parts;
+}
+
+function splitMoment(changes: readonly SharedChange[]): SharedChange[][] | undefined {
+  const pieces: SharedChange[][] = [[]];
+  for (const change of changes) {
+    if (!isWithinLimits([change])) return undefined;
+    const last = pieces.at(-1);
+    if (last !== undefined && isWithinLimits([...last, change])) last.push(change);
+    else pieces.push([change]);
+  }
+  return pieces;
+}
+
+function groupByPosition(changes: readonly SharedChange[]): SharedChange[][] {
+  const groups: SharedChange[][] = [];
+  for (const change of changes) {
+    const last = groups.at(-1);
+    const [first] = last ?? [];
+    if (first !== undefined && compareStorePositions(first.position, change.position) === 0) {
+      last?.push(change);
+    } else groups.push([change]);
+  }
+  return groups;
+}
+
+/** Whether changes fit into one message. */
+function isWithinLimits(changes: readonly SharedChange[]): boolean {
+  if (changes.length > MAX_CHANGES_PER_MESSAGE) return false;
+  const bytes = changes.reduce((sum, change) => sum + measureEncoded(change), 0);
+  return bytes + KIND_OVERHEAD_BYTES <= MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES;
+}
+
 function measureKindNews({ changes = [] }: KindNews): number {
   return changes.reduce((sum, change) => sum + measureEncoded(change), KIND_OVERHEAD_BYTES);
 }
@@ -164,11 +226,37 @@
   return change.kind === 'patched' ? Math.ceil(bytes * BASE64_GROWTH) : bytes;
 }
 
-function encodeKindNews({ kind, fromRevision, toRevision, ageMs, changes }: KindNews) {
-  return [
-    ...[kind, fromRevision, toRevision, encodeAge(ageMs)],
-    changes === undefined ? null : changes.map(encodeChange),
-  ];
+/** Leaves out an era of 0, which instances of the version before eras do not know. */
+function encodePosition({ kind, position, ageMs }: KindPosition): PositionEntry {
+  const { era, revision } = position;
+  const age = encodeAge(ageMs);
+  return era === 0 ? [kind, revision, age] : [kind, revision, age, era];
+}
+
+function decodePosition([kind, revision, ageMs, era = 0]: PositionEntry): KindPosition {
+  return { kind, position: { era, revision }, ageMs: ageMs ?? undefined };
+}
+
+function encodeKindNews({ kind, from, to, ageMs, changes, part }: KindNews): StoreKindNews {
+  const encoded = changes === undefined ? null : changes.map(encodeChange);
+  const age = encodeAge(ageMs);
+  const { index, count } = part ?? { index: 0, count: 1 };
+  if (from.era === 0 && to.era === 0 && count === 1) {
+    return [kind, from.revision, to.revision, age, encoded];
+  }
+  const extent: [number, number, number, number] = [from.era, to.era, index, count];
+  return [kind, from.revision, to.revision, age, encoded, extent];
+}
+
+function decodeKindNews(entry: StoreKindNews): KindNews {
+  const [kind, fromRevision, toRevision, ageMs, changes, extent] = entry;
+  const [fromEra, era, index, count] = extent ?? [0, 0, 0, 1];
+  return {
+    ...{ kind, from: { era: fromEra, revision: fromRevision }, to: { era, revision: toRevision } },
+    ageMs: ageMs ?? undefined,
+    changes: changes?.map((change) => decodeChange(change, era)),
+    ...(count > 1 ? { part: { index, count } } : {}),
+  };
 }
 
 /** Rounds up, so that objects do not look more recent than they are. */
@@ -177,7 +265,8 @@
 }
 
 function encodeChange(change: SharedChange): StoreChange {
-  const { name, position } = change;
+  const { name } = change;
+  const position = change.position.revision;
   switch (change.kind) {
     case 'put':
       return ['put', name, position, change.revision, change.text];
@@ -190,17 +279,18 @@
   }
 }
 
-function decodeChange(change: StoreChange): SharedChange {
+function decodeChange(change: StoreChange, era: StoreEra): SharedChange {
+  const position = { era, revision: change[2] };
   switch (change[0]) {
     case 'put': {
-      const [kind, name, position, revision, text] = change;
+      const [kind, name, , revision, text] = change;
       return { kind, name, position, revision, text };
     }
     case 'patched': {
-      const [kind, name, position, revision, baseRevision, patch] = change;
+      const [kind, name, , revision, baseRevision, patch] = change;
       return { kind, name, position, revision, baseRevision, patch: Buffer.from(patch, 'base64') };
     }
     case 'deleted':
-      return { kind: 'deleted', name: change[1], position: change[2] };
+      return { kind: 'deleted', name: change[1], position };
   }
 }
--- a/packages/gateway/src/store-news.ts
+++ b/packages/gateway/src/store-news.ts
@@ -1,10 +1,14 @@
 import { ReaderContact } from '@pollendrum/policy';
-import type { SharedChange } from './change-log';
+import type { ChangeStep } from './change-log';
 import type { NewsResult } from './kind-watcher';
 import type { Clock, GatewayLog } from './log-and-clock';
+import type { StoreEra } from './object-store';
 import type { PeerAddress, PeerSocket, SenderAddress } from './peer-socket';
+import { StoreNewsParts } from './store-news-parts';
 import { decodeStoreMessage, encodeStoreMessage, splitNews } from './store-message-codec';
 import type { KindNews, KindPosition, StoreMessageContent } from './store-message-codec';
+import { selectLater } from './store-position';
+import type { StorePosition } from './store-position';
 
 /** What is shared of the objects of one kind. */
 export interface SharedKind {
@@ -12,9 +16,9 @@
   /** Age of the objects from which the instance reads them from the store itself, in milliseconds. */
   maxAgeMs: number;
   watcher: {
-    getPosition(): number | undefined;
+    getPosition(): StorePosition | undefined;
     getAgeMs(nowMs: number): number;
-    listChangesSince(revision: number): readonly SharedChange[] | undefined;
+    listChangesSince(position: StorePosition): readonly ChangeStep[] | undefined;
     applyNews(news: KindNews, syncedAtMs: number | undefined): NewsResult;
     checkFollowing(): void;
     readNow(): void;
@@ -33,6 +37,10 @@
   onOutage(untilMs: number): void;
   /** Checks whether the process was suspended, in which case it no longer knows how old its objects are. */
   checkSuspension(): void;
+  /** Called with the eras that other instances name. */
+  onEra?(era: StoreEra): void;
+  /** Time since a new era of the store has begun, in milliseconds; infinite before that. */
+  getSinceNewEraMs?(nowMs: number): number;
 }
 
 /** Interval at which an instance asks a reader, in milliseconds. */
@@ -59,6 +67,15 @@
 /** Shortest interval at which changes are told, in milliseconds. */
 const MIN_TELL_INTERVAL_MS = 100;
 const MAX_TOLD_INSTANCES = 512;
+/** Time after a new era in which the readers list the objects, so that the others need not, in milliseconds. */
+const NEW_ERA_WAIT_MS = 400;
+/** Time after a new era in which many instances may lack the same changes, in milliseconds. */
+const SETTLING_MS = 5_000;
+/**
+ * Longest time for which a reading is put off after the store has returned from a backup, in milliseconds. Many instances may
+ * lack the same changes, and another instance may have them.
+ */
+const MAX_SETTLING_DELAY_MS = 800;
 
 /** A question, with several receivers in later attempts. */
 interface Question {
@@ -71,8 +88,8 @@
 interface Follower {
   sender: SenderAddress;
   askedAtMs: number;
-  /** Revision up to which it knows or has been told the changes, by kind. */
-  positions: Map<string, number>;
+  /** Moment up to which it knows or has been told the changes, by kind. */
+  positions: Map<string, StorePosition>;
 }
 
 /**
@@ -94,8 +111,12 @@
   private expectedUntilMs = -Infinity;
   private outdatedAtMs = -Infinity;
   private probedAtMs = -Infinity;
+  private requestedAtMs = -Infinity;
   private timer: NodeJS.Timeout | undefined;
   private tellTimer: NodeJS.Timeout | undefined;
+  private readonly parts = new StoreNewsParts();
+  /** Readings that are put off, by kind. */
+  private readonly readTimers = new Map<string, NodeJS.Timeout>();
   private toldAtMs = -Infinity;
   private isDisposed = false;
 
@@ -141,8 +162,12 @@
    * only with the first kind.
    */
   computeReadDelayMs(kind: string): number {
-    if (!this.isInOutage()) return 0;
     const nowMs = this.options.clock();
+    const sinceNewEraMs = this.options.getSinceNewEraMs?.(nowMs) ?? Infinity;
+    if (sinceNewEraMs < NEW_ERA_WAIT_MS && !this.contact.isReader(nowMs)) {
+      return NEW_ERA_WAIT_MS - sinceNewEraMs + Math.random() * NEW_ERA_WAIT_MS;
+    }
+    if (!this.isInOutage()) return 0;
     const [first] = this.kinds;
     if (first === undefined || first.kind === kind) {
       return this.contact.computeProbeDelayMs(Math.random());
@@ -192,6 +217,7 @@
     this.isDisposed = true;
     clearTimeout(this.timer);
     clearTimeout(this.tellTimer);
+    for (const timer of this.readTimers.values()) clearTimeout(timer);
     await Promise.resolve();
   }
 
@@ -271,8 +297,8 @@
     const questionId = this.lastQuestionId;
     this.round.set(questionId, { askedAtMs: nowMs, asked, isAnswered: false });
     const positions = this.kinds.flatMap(({ kind, watcher }) => {
-      const revision = watcher.getPosition();
-      return revision === undefined ? [] : [{ kind, revision, ageMs: getAge(watcher, nowMs) }];
+      const position = watcher.getPosition();
+      return position === undefined ? [] : [{ kind, position, ageMs: getAge(watcher, nowMs) }];
     });
     const { instanceId } = this.options;
     this.#send({ kind: 'question', questionId, instanceId, positions }, receivers);
@@ -301,10 +327,11 @@
     sender: SenderAddress,
   ): void {
     const nowMs = this.options.clock();
+    this.#observeEras(positions.map(({ position }) => position));
     const follower = {
       sender,
       askedAtMs: nowMs,
-      positions: new Map(positions.map(({ kind, revision }) => [kind, revision])),
+      positions: new Map(positions.map(({ kind, position }) => [kind, position])),
     };
     this.followers.delete(instanceId);
     this.followers.set(instanceId, follower);
@@ -331,16 +358,7 @@
   }
 
   #sendNews(questionId: number, follower: Follower, nowMs: number, onlyChanges: boolean): void {
-    const news = this.kinds.flatMap(({ kind, watcher }): KindNews[] => {
-      const fromRevision = follower.positions.get(kind);
-      const toRevision = watcher.getPosition();
-      if (fromRevision === undefined || toRevision === undefined) return [];
-      const changes = watcher.listChangesSince(fromRevision);
-      if (onlyChanges && changes?.length === 0) return [];
-      follower.positions.set(kind, Math.max(fromRevision, toRevision));
-      const ageMs = changes === undefined ? undefined : getAge(watcher, nowMs);
-      return [{ kind, fromRevision, toRevision, changes, ageMs }];
-    });
+    const news = this.kinds.flatMap((shared) => listKindNews(shared, follower, nowMs, onlyChanges));
     if (onlyChanges && news.length === 0) return;
     const { instanceId } = this.options;
     const parts = news.length === 0 ? [[]] : splitNews(news);
@@ -356,14 +374,29 @@
     if (answered === undefined && !this.addresses.has(instanceId)) return;
     const nowMs = this.options.clock();
     if (this.#isOverdue(nowMs)) this.options.onOutage(nowMs);
-    const ages = news.map((kindNews) => this.#applyKindNews(kindNews, answered?.askedAtMs));
+    this.#observeEras(news.map(({ to }) => to));
+    const complete = news.flatMap((kindNews) => this.parts.collect(instanceId, kindNews) ?? []);
+    const ages = complete.map((kindNews) => this.#applyKindNews(kindNews, answered?.askedAtMs));
     this.reportChanges();
     if (answered === undefined) {
-      if (this.isInOutage() && isRecentNews(ages)) this.requestNews();
+      if (isRecentNews(ages)) this.#handleContact(instanceId, nowMs);
       return;
     }
     answered.isAnswered = true;
-    this.#judgeAnswer(instanceId, ages, nowMs);
+    // A part of an answer says nothing of how recent the answer is.
+    if (complete.length > 0 || news.length === 0) this.#judgeAnswer(instanceId, ages, nowMs);
+  }
+
+  /**
+   * Asks an instance that has contact with the store again. Its news may come in many messages; a question for each of them would end the
+   * one before, whose answer would lead to the next question.
+   */
+  #handleContact(instanceId: string, nowMs: number): void {
+    if (!this.isInOutage()) return;
+    this.contact.recordAnswer(instanceId, 'recent', nowMs);
+    if (nowMs - this.requestedAtMs < MIN_TELL_INTERVAL_MS) return;
+    this.requestedAtMs = nowMs;
+    this.requestNews();
   }
 
   /**
@@ -384,8 +417,10 @@
       case 'not-listed':
         break;
       case 'unavailable':
-        shared.watcher.readNow();
+        this.#scheduleReading(shared);
         break;
+      case 'outdated':
+        return Number.isFinite(shared.maxAgeMs) ? Infinity : undefined;
       case 'gap':
         // Told changes may overtake each other or be lost; the answer to the next question has them.
         if (askedAtMs === undefined) this.nextAskAtMs = -Infinity;
@@ -394,6 +429,30 @@
     return Number.isFinite(shared.maxAgeMs) ? ageMs : undefined;
   }
 
+  #observeEras(positions: readonly StorePosition[]): void {
+    const { clock, onEra, getSinceNewEraMs } = this.options;
+    onEra?.(Math.max(0, ...positions.map(({ era }) => era)));
+    // Answers to new questions show how recent the objects are in the new era.
+    if (getSinceNewEraMs?.(clock()) === 0) this.nextAskAtMs = -Infinity;
+  }
+
+  /** Lets the objects be read from the store, a little later while many instances may have to. */
+  #scheduleReading({ kind, watcher }: SharedKind): void {
+    const sinceNewEraMs = this.options.getSinceNewEraMs?.(this.options.clock()) ?? Infinity;
+    if (sinceNewEraMs > SETTLING_MS) {
+      watcher.readNow();
+      return;
+    }
+    if (this.readTimers.has(kind) || this.isDisposed) return;
+    const position = watcher.getPosition();
+    const delayMs = Math.random() * MAX_SETTLING_DELAY_MS;
+    const timer = setTimeout(() => {
+      this.readTimers.delete(kind);
+      if (watcher.getPosition() === position) watcher.readNow();
+    }, delayMs);
+    this.readTimers.set(kind, timer);
+  }
+
   /** Judges what a message says of all kinds; one of several messages may say nothing. */
   #judgeAnswer(instanceId: string, ages: readonly (number | undefined)[], nowMs: number): void {
     const isRecent = isRecentNews(ages);
@@ -459,3 +518,25 @@
   const known = ages.filter((ageMs) => ageMs !== undefined);
   return known.length > 0 && known.every((ageMs) => ageMs <= MAX_RECENT_AGE_MS);
 }
+
+/** Makes the news of a kind for an instance, and records what that has been told. */
+function listKindNews(
+  { kind, watcher }: SharedKind,
+  { positions }: Follower,
+  nowMs: number,
+  onlyChanges: boolean,
+): KindNews[] {
+  const from = positions.get(kind);
+  const to = watcher.getPosition();
+  if (from === undefined || to === undefined) return [];
+  const steps = watcher.listChangesSince(from);
+  const hasChanges = steps?.some((step) => step.changes.length > 0) ?? true;
+  if (onlyChanges && !hasChanges && from.era === to.era) return [];
+  positions.set(kind, selectLater(from, to));
+  if (steps === undefined) return [{ kind, from, to, ageMs: undefined, changes: undefined }];
+  return steps.map((step, index) => ({
+    ...{ kind, from: step.from, to: step.to ?? to },
+    ageMs: index === steps.length - 1 ? getAge(watcher, nowMs) : undefined,
+    changes: step.changes,
+  }));
+}
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -2,6 +2,7 @@
 import { formatFinding } from '@pollendrum/protocol';
 import type { ParseResult } from '@pollendrum/protocol';
 import type { BackendServer, RouteBundle } from './bundle';
+import { InstanceDirectory } from './instance-directory';
 import { KEY_WATCH_WAIT_MS } from './key-freshness';
 import type { KeyFreshness } from './key-freshness';
 import { KindWatcher } from './kind-watcher';
@@ -10,8 +11,11 @@
 import type { PeerAddress } from './peer-socket';
 import type { Clock, GatewayLog } from './log-and-clock';
 import type { ServerEntry, ServerRegistry } from './server-registry';
+import { EraBundles } from './era-bundles';
+import type { StoreEraWatch } from './store-era-watch';
 import type { StoreNews } from './store-news';
-import type { ObjectChange, ObjectStore, StoredObject } from './object-store';
+import type { StorePosition } from './store-position';
+import type { ObjectChange, ObjectStore, StoredObject, StoreEra } from './object-store';
 
 /** Decodes the platform's stored objects into the gateway's types. */
 export interface ObjectDecoders {
@@ -29,6 +33,7 @@
   clock: Clock;
   registry: ServerRegistry;
   keyFreshness: KeyFreshness;
+  eras: StoreEraWatch;
   /** Shares what is read with other instances. */
   news: StoreNews;
   /** Checks whether the process was suspended; `discardSync` must be called if it was. */
@@ -37,8 +42,12 @@
   onBundle(bundle: RouteBundle, revision: number): void;
   /** Called when the servers or the configuration are read again after an outage. */
   onRegain(): void;
-  /** Called with all announced instances, including this one. */
-  onInstances(instances: readonly PeerAddress[]): void;
+  /**
+   * Called with all announced instances, including this one.
+   *
+   * @param missing instances among them whose announcements the store has lost
+   */
+  onInstances(instances: readonly PeerAddress[], missing: readonly string[]): void;
 }
 
 /** Object kind under which instances announce the address at which they receive load reports. */
@@ -48,6 +57,8 @@
  * answers whether the store has changes that the watch for servers has not delivered.
  */
 const LONG_WAIT_MS = 15_000;
+/** Time from a new era until the instances are listed, in milliseconds, so that the calls about the other kinds come first. */
+const INSTANCE_LISTING_DELAY_MS = 1_500;
 /** Longest time for which the other watches wait for the list of instances, in milliseconds. */
 const MAX_START_DELAY_MS = 200;
 /**
@@ -73,12 +84,23 @@
   private readonly serverWatcher: KindWatcher;
   private readonly instanceWatcher: KindWatcher;
   private readonly watchers: readonly KindWatcher[];
-  private readonly instances = new Map<string, PeerAddress>();
+  private readonly instances: InstanceDirectory;
+  private readonly eraBundles = new EraBundles();
   private startTimer: NodeJS.Timeout | undefined;
   /** Called when the list of servers has been read again. */
   private readonly listWaiters = new Set<() => void>();
 
   constructor(private readonly options: StoreWatchersOptions) {
+    const { clock, eras, registry } = options;
+    this.instances = new InstanceDirectory(clock, () => {
+      this.#reportInstances();
+    });
+    eras.onRaise(() => {
+      this.eraBundles.handleNewEra(clock());
+      this.instances.handleNewEra();
+      // The backup lacks entries of servers that write them again.
+      registry.recordOutage(clock());
+    });
     this.bundleWatcher = this.#createBundleWatcher();
     this.serverWatcher = this.#createServerWatcher();
     this.instanceWatcher = this.#createInstanceWatcher();
@@ -108,7 +130,7 @@
   }
 
   countInstances(): number {
-    return this.instances.size;
+    return this.instances.count();
   }
 
   /** Time since the list of servers was known to be complete, in milliseconds; infinite before it is read. */
@@ -142,6 +164,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     clearTimeout(this.startTimer);
+    this.instances[Symbol.dispose]();
     for (const watcher of this.watchers) await watcher[Symbol.asyncDispose]();
   }
 
@@ -152,19 +175,20 @@
   }
 
   #createBundleWatcher(): KindWatcher {
-    const { store, log, clock, decoders, keyFreshness, registry, news } = this.options;
+    const { store, log, clock, eras, decoders, keyFreshness, registry, news } = this.options;
     return new KindWatcher({
-      ...{ store, log, clock, kind: decoders.bundleKind, waitMs: KEY_WATCH_WAIT_MS },
+      ...{ store, log, clock, eras, kind: decoders.bundleKind, waitMs: KEY_WATCH_WAIT_MS },
       ...{ ...this.#makeSharing(decoders.bundleKind), firstListing: 'any' },
-      onListing: ({ objects }) => {
-        for (const object of objects) this.#handleBundleObject(object);
+      onListing: ({ objects }, changes) => {
+        const changed = changes.flatMap((change) => (change.kind === 'put' ? [change.object] : []));
+        for (const object of objects) this.#handleBundleObject(object, changed.includes(object));
       },
       onChange: (change) => {
-        if (change.kind === 'put') this.#handleBundleObject(change.object);
+        if (change.kind === 'put') this.#handleBundleObject(change.object, true);
       },
-      onSync: (syncedAtMs, revision) => {
-        keyFreshness.recordSync(syncedAtMs);
-        if (revision !== undefined) this.serverWatcher.observeRevision(revision, syncedAtMs);
+      onSync: (syncedAtMs, position) => {
+        if (this.eraBundles.isSettled(clock())) keyFreshness.recordSync(syncedAtMs);
+        if (position !== undefined) this.serverWatcher.observePosition(position, syncedAtMs);
       },
       onOutage: (untilMs) => {
         registry.recordOutage(untilMs);
@@ -182,21 +206,20 @@
   }
 
   #createServerWatcher(): KindWatcher {
-    const { store, log, clock, decoders, registry } = this.options;
+    const { store, log, clock, eras, decoders, registry } = this.options;
     return new KindWatcher({
-      ...{ store, log, clock, kind: decoders.serverKind, waitMs: LONG_WAIT_MS },
+      ...{ store, log, clock, eras, kind: decoders.serverKind, waitMs: LONG_WAIT_MS },
       ...{ ...this.#makeSharing(decoders.serverKind), firstListing: 'any' },
       waitAfterChangesMs: LONG_WAIT_MS,
-      onListing: ({ objects, revision }) => {
-        const entries = objects.map((object) => this.#decodeServer(object));
+      onListing: ({ objects, revision, era }) => {
+        const entries = objects.map((object) => this.#decodeServer(object, era));
         registry.replaceAll(
           entries.filter((entry) => entry !== undefined),
-          clock(),
-          revision,
+          ...([clock(), { era, revision }] as const),
         );
       },
-      onChange: (change) => {
-        this.#applyServerChange(change);
+      onChange: (change, position) => {
+        this.#applyServerChange(change, position);
       },
       onOutage: (untilMs) => {
         registry.recordOutage(untilMs);
@@ -212,24 +235,31 @@
   }
 
   #createInstanceWatcher(): KindWatcher {
-    const { store, log, clock, onInstances } = this.options;
+    const { store, log, clock, eras } = this.options;
     return new KindWatcher({
-      ...{ store, log, clock, kind: INSTANCE_KIND, waitMs: LONG_WAIT_MS },
+      ...{ store, log, clock, eras, kind: INSTANCE_KIND, waitMs: LONG_WAIT_MS },
       ...{ ...this.#makeSharing(INSTANCE_KIND), waitAfterChangesMs: LONG_WAIT_MS },
+      newEraDelayMs: INSTANCE_LISTING_DELAY_MS,
       onListing: ({ objects }) => {
-        this.instances.clear();
-        for (const object of objects) this.#putInstance(object);
-        onInstances([...this.instances.values()]);
+        this.instances.replaceAll(objects.flatMap((object) => this.#decodeInstance(object) ?? []));
+        this.#reportInstances();
         this.#startOthers();
       },
       onChange: (change) => {
-        if (change.kind === 'put') this.#putInstance(change.object);
-        else this.instances.delete(change.name);
-        onInstances([...this.instances.values()]);
+        if (change.kind === 'deleted') this.instances.remove(change.name);
+        else {
+          const instance = this.#decodeInstance(change.object);
+          if (instance !== undefined) this.instances.put(instance);
+        }
+        this.#reportInstances();
       },
     });
   }
 
+  #reportInstances(): void {
+    this.options.onInstances(this.instances.list(), this.instances.listMissing());
+  }
+
   /**
    * Lets a watcher find out at once whether the store answers it when another one has lost or regained contact, since its own
    * call may be lost as well.
@@ -266,11 +296,13 @@
     };
   }
 
-  #handleBundleObject(object: StoredObject): void {
+  /** @param isWritten whether the object has been written since it was read before */
+  #handleBundleObject(object: StoredObject, isWritten: boolean): void {
     const { decoders, log, onBundle } = this.options;
     if (object.name !== decoders.bundleName) return;
     const parsed = decoders.decodeBundle(object.spec);
     if (parsed.ok) {
+      this.eraBundles.observe(parsed.value.version, isWritten);
       onBundle(parsed.value, object.revision);
       return;
     }
@@ -281,24 +313,24 @@
   }
 
   /** Applies a change to the registry. A server whose entry can no longer be decoded is removed. */
-  #applyServerChange(change: ObjectChange): void {
+  #applyServerChange(change: ObjectChange, position: StorePosition): void {
     const { registry, clock } = this.options;
     switch (change.kind) {
       case 'deleted':
-        registry.remove(change.name, clock(), change.revision);
+        registry.remove(change.name, clock(), position);
         return;
       case 'put': {
-        const entry = this.#decodeServer(change.object);
+        const entry = this.#decodeServer(change.object, position.era);
         if (entry === undefined) registry.remove(change.object.name, clock());
-        else registry.put(entry.server, entry.revision);
+        else registry.put(entry.server, entry.position);
         return;
       }
     }
   }
 
-  #decodeServer({ name, spec, revision }: StoredObject): ServerEntry | undefined {
+  #decodeServer({ name, spec, revision }: StoredObject, era: StoreEra): ServerEntry | undefined {
     const parsed = this.options.decoders.decodeServer(name, spec);
-    if (parsed.ok) return { server: parsed.value, revision };
+    if (parsed.ok) return { server: parsed.value, position: { era, revision } };
     this.options.log.warn('invalid entry of a backend server', {
       serverId: name,
       findings: parsed.findings.map(formatFinding),
@@ -306,20 +338,20 @@
     return undefined;
   }
 
-  #putInstance(object: StoredObject): void {
+  #decodeInstance(object: StoredObject): PeerAddress | undefined {
     const spec = (object.spec ?? {}) as Record<string, unknown>;
     const { address, port, isWatchable, isReaderCandidate, failureDomain } = spec;
     const candidate = { address, port };
     if (!isUsableAddress(candidate)) {
       this.options.log.warn('invalid announcement of an instance ignored', { name: object.name });
-      return;
+      return undefined;
     }
-    this.instances.set(object.name, {
+    return {
       instanceId: object.name,
       ...candidate,
       isWatchable: isWatchable === true,
       isReaderCandidate: isReaderCandidate === true,
       ...(typeof failureDomain === 'string' ? { failureDomain } : {}),
-    });
+    };
   }
 }
--- a/packages/gateway/test/change-log.test.ts
+++ b/packages/gateway/test/change-log.test.ts
@@ -2,9 +2,14 @@
 import { ChangeLog, measureChange } from '../src/change-log';
 import type { SharedChange } from '../src/change-log';
 import type { ObjectChange } from '../src/object-store';
+import type { StorePosition } from '../src/store-position';
 
 const LARGE = 'x'.repeat(2_000);
 
+function at(revision: number, era = 0): StorePosition {
+  return { era, revision };
+}
+
 function put(name: string, revision: number, spec: unknown): ObjectChange {
   return { kind: 'put', object: { name, revision, spec } };
 }
@@ -20,8 +25,8 @@
 }
 
 function takeChanges(log: ChangeLog, revision: number): readonly SharedChange[] {
-  const since = log.listSince(revision);
-  return since.kind === 'changes' ? since.changes : [];
+  const since = log.listSince(at(revision));
+  return since.kind === 'changes' ? since.steps.flatMap(({ changes }) => changes) : [];
 }
 
 /** Applies the changes that one log hands on to another one. */
@@ -44,7 +49,7 @@
     put('a', 7, { text: `${LARGE}y` }),
     { kind: 'deleted' as const, name: 'b', revision: 8 },
   ];
-  for (const change of changes) reader.record(change);
+  for (const change of changes) reader.record(change, 0);
   expect(mergeChanges(reader, follower, 5)).toEqual(changes);
   // What was handed on can be handed on again.
   expect(takeChanges(follower, 6)).toEqual(takeChanges(reader, 6));
@@ -53,10 +58,10 @@
 // Guards against a configuration that does not fit into a message, so that each instance reads it from the store.
 test('a change of a large object takes few bytes', () => {
   const log = startLog();
-  log.record(put('a', 6, { text: `${LARGE}y` }));
+  log.record(put('a', 6, { text: `${LARGE}y` }), 0);
   const [change] = takeChanges(log, 5);
   expect(change?.kind).toBe('patched');
-  expect(measureChange(change ?? { kind: 'deleted', name: '', position: 0 })).toBeLessThan(200);
+  expect(measureChange(change ?? { kind: 'deleted', name: '', position: at(0) })).toBeLessThan(200);
 });
 
 test.each([
@@ -64,32 +69,35 @@
   { name: 'at the listing', revision: 5, expected: 'changes' },
   { name: 'after the last change', revision: 900, expected: 'changes' },
 ])('a revision $name gives $expected', ({ revision, expected }) => {
-  expect(startLog().listSince(revision).kind).toBe(expected);
+  expect(startLog().listSince(at(revision)).kind).toBe(expected);
 });
 
 test('a log without a listing has no changes to hand on', () => {
-  expect(new ChangeLog().listSince(5)).toEqual({ kind: 'gap' });
+  expect(new ChangeLog().listSince(at(5))).toEqual({ kind: 'gap' });
 });
 
 // Guards against memory that grows with the time that an instance runs.
 test('old changes are discarded and leave a gap', () => {
   const log = startLog();
   for (let revision = 6; revision < 2_000; revision += 1)
-    log.record(put('b', revision, { revision }));
+    log.record(put('b', revision, { revision }), 0);
   expect(takeChanges(log, 1_990)).toHaveLength(9);
-  expect(log.listSince(6).kind).toBe('gap');
+  expect(log.listSince(at(6)).kind).toBe('gap');
 });
 
 test('another listing is handed on as its differences', () => {
   const [reader, follower] = [startLog(), startLog()];
-  reader.recordListing({
-    objects: [
-      { name: 'c', revision: 9, spec: 2 },
-      { name: 'b', revision: 8, spec: 1 },
-    ],
-    revision: 12,
-    era: 0,
-  });
+  reader.recordListing(
+    {
+      objects: [
+        { name: 'c', revision: 9, spec: 2 },
+        { name: 'b', revision: 8, spec: 1 },
+      ],
+      revision: 12,
+      era: 0,
+    },
+    at(5),
+  );
   expect(mergeChanges(reader, follower, 5)).toEqual([
     put('b', 8, 1),
     put('c', 9, 2),
@@ -105,14 +113,14 @@
 const badCases: BadCase[] = [
   {
     name: 'text that is no JSON',
-    change: { kind: 'put', name: 'a', position: 9, revision: 9, text: '{' },
+    change: { kind: 'put', name: 'a', position: at(9), revision: 9, text: '{' },
   },
   {
     name: 'a patch against a revision that is not known',
     change: {
       kind: 'patched',
       name: 'a',
-      position: 9,
+      position: at(9),
       revision: 9,
       baseRevision: 4,
       patch: Buffer.from('x'),
@@ -123,7 +131,7 @@
     change: {
       kind: 'patched',
       name: 'z',
-      position: 9,
+      position: at(9),
       revision: 9,
       baseRevision: 3,
       patch: Buffer.from('x'),
@@ -134,7 +142,7 @@
     change: {
       kind: 'patched',
       name: 'a',
-      position: 9,
+      position: at(9),
       revision: 9,
       baseRevision: 3,
       patch: Buffer.from('zz'),
@@ -145,7 +153,7 @@
     change: {
       kind: 'patched',
       name: 'a',
-      position: 9,
+      position: at(9),
       revision: 9,
       baseRevision: 3,
       patch: Buffer.alloc(0),
--- a/packages/gateway/test/leaving-gossip.test.ts
+++ b/packages/gateway/test/leaving-gossip.test.ts
@@ -146,7 +146,7 @@
         const isRestarted = entry?.startedAtUnixMs !== SERVER.startedAtUnixMs;
         availability.handleServerChange(
           entry === undefined
-            ? { kind: 'removed', server, revision: undefined }
+            ? { kind: 'removed', server, position: undefined }
             : { kind: 'changed', server, isRestarted },
         );
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
--- a/packages/gateway/test/reading-fleet.ts
+++ b/packages/gateway/test/reading-fleet.ts
@@ -1,7 +1,9 @@
 import type { BackendServer, RouteBundle } from '../src';
+import { InstanceAnnouncement } from '../src/instance-announcement';
 import { KeyFreshness } from '../src/key-freshness';
 import type { PeerSocket } from '../src/peer-socket';
 import { ServerRegistry } from '../src/server-registry';
+import { StoreEraWatch } from '../src/store-era-watch';
 import { StoreNews } from '../src/store-news';
 import { INSTANCE_KIND, StoreWatchers } from '../src/store-watchers';
 import { SuspensionDetector } from '../src/suspension-detector';
@@ -82,8 +84,13 @@
     { isKeyRevocationStrict: true, keyRevocationMs: KEY_REVOCATION_MS },
     checkSuspension,
   );
+  const eras = new StoreEraWatch({ clock, log });
   const news = new StoreNews({
     ...{ instanceId, socket: guarded, clock, log, checkSuspension },
+    onEra: (era) => {
+      eras.observeEra(era);
+    },
+    getSinceNewEraMs: (nowMs) => eras.getSinceNewEraMs(nowMs),
     onOutage: (untilMs) => {
       registry.recordOutage(untilMs);
     },
@@ -92,14 +99,15 @@
     peerContact === 'frozen' ? 'silent' : instance.storeContact,
   );
   const watchers: StoreWatchers = new StoreWatchers({
-    ...{ store: view, decoders: DECODERS, log, clock, registry, keyFreshness, news },
+    ...{ store: view, decoders: DECODERS, log, clock, registry, keyFreshness, eras, news },
     checkSuspension,
     onBundle: ({ version }) => {
       instance.version = Math.max(instance.version ?? 0, version);
     },
     onRegain: () => undefined,
-    onInstances: (instances) => {
+    onInstances: (instances, missing) => {
       news.setInstances(instances);
+      announcement.checkAnnounced(instances, missing);
     },
   });
   const instance: ReadingInstance = {
@@ -120,19 +128,20 @@
       stepMs = step;
     },
     async [Symbol.asyncDispose]() {
+      announcement.stop();
       await Promise.all([watchers[Symbol.asyncDispose](), news[Symbol.asyncDispose]()]);
     },
   };
-  const announcement = { address: '127.0.0.1', port, failureDomain };
-  void view
-    .putObject(INSTANCE_KIND, instanceId, {
-      ...announcement,
-      isWatchable: true,
-      isReaderCandidate: true,
-    })
-    .finally(() => {
-      watchers.start();
-    });
+  const announcement = new InstanceAnnouncement({
+    ...{ instanceId, kind: INSTANCE_KIND, store: view, log },
+    spec: {
+      ...{ address: '127.0.0.1', port, failureDomain },
+      ...{ isWatchable: true, isReaderCandidate: true },
+    },
+  });
+  void announcement.announce().finally(() => {
+    watchers.start();
+  });
   return instance;
 }
 
--- a/packages/gateway/test/removal-sharing.test.ts
+++ b/packages/gateway/test/removal-sharing.test.ts
@@ -17,6 +17,7 @@
   told: readonly number[];
 }
 
+const at = (revision: number) => ({ era: 0, revision });
 const put = (revision: number): Step => ({ kind: 'put', revision });
 const told = (revision: number): Step => ({ kind: 'told', revision });
 
@@ -54,24 +55,25 @@
   for (const step of steps) {
     switch (step.kind) {
       case 'put':
-        registry.put(server, step.revision);
+        registry.put(server, at(step.revision));
         break;
       case 'delete':
-        registry.remove('a', 0, step.revision);
+        registry.remove('a', 0, at(step.revision));
         break;
       case 'told':
-        sharing.mergeFact({ kind: 'removed', serverId: 'a', revision: step.revision });
+        sharing.mergeFact({ kind: 'removed', serverId: 'a', position: at(step.revision) });
         break;
       case 'listing': {
         const { entryRevision } = step;
-        const entries = entryRevision === undefined ? [] : [{ server, revision: entryRevision }];
-        registry.replaceAll(entries, 0, step.revision);
+        const entries =
+          entryRevision === undefined ? [] : [{ server, position: at(entryRevision) }];
+        registry.replaceAll(entries, 0, at(step.revision));
         break;
       }
     }
   }
   expect(registry.get('a') !== undefined).toBe(isListed);
-  expect(sharing.listFacts().map(({ revision }) => revision)).toEqual(expected);
+  expect(sharing.listFacts().map(({ position }) => position.revision)).toEqual(expected);
 });
 
 afterEach(() => {
@@ -122,14 +124,14 @@
     for (const { gossip, registry } of members) {
       gossip.setPeers(peers);
       for (let index = 0; index < REMOVALS; index += 1) {
-        registry.put(makeServer(`s-${index}`, 'desk', 1), index);
+        registry.put(makeServer(`s-${index}`, 'desk', 1), at(index));
       }
     }
     const [cut, ...others] = members;
     await vi.advanceTimersByTimeAsync(1_200);
     const bytesBefore = network.sentBytes;
     for (let index = 0; index < REMOVALS; index += 1) {
-      for (const { registry } of others) registry.remove(`s-${index}`, clock(), 100 + index);
+      for (const { registry } of others) registry.remove(`s-${index}`, clock(), at(100 + index));
       await vi.advanceTimersByTimeAsync(REMOVAL_INTERVAL_MS);
     }
     await vi.advanceTimersByTimeAsync(MAX_SPREAD_MS - REMOVAL_INTERVAL_MS);
--- a/packages/gateway/test/store-message-codec.test.ts
+++ b/packages/gateway/test/store-message-codec.test.ts
@@ -5,16 +5,22 @@
 import type { KindNews, StoreMessageContent } from '../src/store-message-codec';
 
 const MAX_DATAGRAM_BYTES = 1_200;
+const at = (revision: number, era = 0) => ({ era, revision });
 const SENDER = { questionId: 7, instanceId: 'edge-gp-a-12' };
-const POSITION = { kind: 'config', revision: 4, ageMs: 12 };
+const POSITION = { kind: 'config', position: at(4), ageMs: 12 };
 
 function makeNews(changes: readonly SharedChange[] | undefined, ageMs = 30): KindNews {
-  return { kind: 'servers', fromRevision: 4, toRevision: 900, ageMs, changes };
+  return { kind: 'servers', from: at(4), to: at(900), ageMs, changes };
 }
 
 function makePuts(count: number, length = 200): SharedChange[] {
   return Array.from({ length: count }, (_, index) => ({
-    ...{ kind: 'put' as const, name: `server-${index}`, position: 5 + index, revision: 5 + index },
+    ...{
+      kind: 'put' as const,
+      name: `server-${index}`,
+      position: at(5 + index),
+      revision: 5 + index,
+    },
     text: JSON.stringify('x'.repeat(length)),
   }));
 }
@@ -31,16 +37,16 @@
       ...{ kind: 'news', ...SENDER },
       news: [
         makeNews([
-          { kind: 'put', name: 'a', position: 8, revision: 5, text: '{}' },
+          { kind: 'put', name: 'a', position: at(8), revision: 5, text: '{}' },
           {
             kind: 'patched',
             name: 'b',
-            position: 9,
+            position: at(9),
             revision: 6,
             baseRevision: 2,
             patch: Buffer.from([0, 255]),
           },
-          { kind: 'deleted', name: 'c', position: 9 },
+          { kind: 'deleted', name: 'c', position: at(9) },
         ]),
       ],
     },
@@ -113,9 +119,9 @@
     sent.map((_, index) => (index === parts - 1 ? 30 : undefined)),
   );
   for (const [index, part] of sent.entries()) {
-    expect(part.fromRevision).toBe(index === 0 ? 4 : sent[index - 1]?.toRevision);
+    expect(part.from).toEqual(index === 0 ? at(4) : sent[index - 1]?.to);
   }
-  expect(sent.at(-1)?.toRevision).toBe(900);
+  expect(sent.at(-1)?.to).toEqual(at(900));
 });
 
 test.each([
--- a/packages/gateway/test/store-state.test.ts
+++ b/packages/gateway/test/store-state.test.ts
@@ -190,7 +190,7 @@
   registry.put(makeServer('b', 'desk', 2));
   registry.recordOutage(1_000);
   // Guards against an instance that knows no backend server after an outage of the store.
-  registry.replaceAll([], 1_100, 1);
+  registry.replaceAll([], 1_100, { era: 0, revision: 1 });
   expect(registry.listReady('desk')).toHaveLength(2);
   registry.put(makeServer('a', 'desk', 1));
   registry.applyDeferredRemovals(1_000 + REMOVAL_GRACE_MS);
--- a/packages/policy/src/readers/index.ts
+++ b/packages/policy/src/readers/index.ts
@@ -1,2 +1,3 @@
 export * from './reader-contact';
 export * from './reader-ranking';
+export * from './era-tracker';
