Hold the duties of the platform by a lease in the store

Calls that one instance makes for the fleet need one holder at a time and a token that rises with each holder, also after a restore that loses the lease. LeaseTerm decides without timers when to read, take, renew and stop; DutyLease makes the calls and is wired into the gateway where settings.duties is set. The token is era * 1e9 + counter with steps of random size, since a write with a revision of the last era may replace a lease of the present one unseen. DutyHolder gets verifyFence, with which a refused order can be told from a lost lease. The lease is released at the start of a drain.

--- a/packages/gateway/src/duties/types.ts
+++ b/packages/gateway/src/duties/types.ts
@@ -16,6 +16,11 @@
   getFence(): Fence | undefined;
   /** Takes in that the platform has refused the fence, so that it is not used again. */
   recordRefusal(fence: Fence): void;
+  /**
+   * Renews the lease and resolves with whether this instance still holds the duties under the same fence. For a refused order,
+   * which may also mean that no such servers are to be had.
+   */
+  verifyFence(fence: Fence): Promise<boolean>;
   /** Returns the instance that holds the duties, as far as known. */
   getHolderId(): string | undefined;
   /** Calls the listener when this instance becomes the holder or stops being it. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import type { BackendServer, RouteBundle } from './bundle';
 import { createCallerServer } from './caller-server';
 import { CrashObserver } from './crash-observer';
+import { DutyLease } from './duties/duty-lease';
 import type { DutyCalls, DutyKind } from './duties/types';
 import { recordPrompt } from './gateway-context';
 import type { GatewayContext } from './gateway-context';
@@ -97,6 +98,7 @@
   private readonly storeWatchers: StoreWatchers;
   private readonly callerServer: ReturnType<typeof createCallerServer>;
   private readonly speeds = new SpeedTracker();
+  private readonly dutyLease: DutyLease | undefined;
   private readonly suspension = new SuspensionDetector();
   private removalTimer: NodeJS.Timeout | undefined;
   private readonly trafficLog: TrafficLog;
@@ -212,6 +214,7 @@
       isDraining: () => this.isDraining,
       isAccepting: () => this.isAccepting,
     };
+    this.dutyLease = this.#createDutyLease();
     this.trafficLog = new TrafficLog(traffic, log);
     this.callerServer = createCallerServer(this.context);
     this.storeWatchers = new StoreWatchers({
@@ -250,6 +253,7 @@
     await Promise.race([this.announcement.announce(), sleep(MAX_ANNOUNCE_DELAY_MS)]);
     this.storeWatchers.start();
     this.fleetExchange.start();
+    this.dutyLease?.start();
     log.info('gateway started', {
       failureDomain: settings.failureDomain,
       callerAddress: settings.callerAddress,
@@ -298,6 +302,7 @@
     const { settings, log, store } = this.options;
     const startedAtMs = this.context.clock();
     log.info('gateway is draining', { openRequests: this.callerServer.countOpenRequests() });
+    void this.dutyLease?.release();
     store.removeObject(INSTANCE_KIND, settings.instanceId).catch((error: unknown) => {
       log.warn('failed to remove the announcement of the instance', { error: String(error) });
     });
@@ -325,6 +330,7 @@
     clearTimeout(this.removalTimer);
     this.announcement[Symbol.dispose]();
     this.trafficLog[Symbol.dispose]();
+    await this.dutyLease?.[Symbol.asyncDispose]();
     await this.storeWatchers[Symbol.asyncDispose]();
     await this.fleetExchange[Symbol.asyncDispose]();
     await this.context.backendPool[Symbol.asyncDispose]();
@@ -335,6 +341,30 @@
     await this.options.store[Symbol.asyncDispose]();
   }
 
+  /** Creates the lease of the duties if the platform asks for any. */
+  #createDutyLease(): DutyLease | undefined {
+    const { settings, duties, store, log } = this.options;
+    if (settings.duties === undefined || duties === undefined || duties.kinds.length === 0) {
+      return undefined;
+    }
+    const { leaseMs } = settings.duties;
+    return new DutyLease({
+      ...{ instanceId: settings.instanceId, store, leaseMs, clock: this.context.clock, log },
+      // Before it is listed, an instance does not know the others and would count as a reader.
+      isCandidate: () => this.isAnnounced && this.fleetExchange.storeNews.isReader(),
+    });
+  }
+
+  /** Announces the instance again if others have removed it while they could not reach it. */
+  #checkAnnouncement(instances: readonly PeerAddress[]): void {
+    const { log, settings } = this.options;
+    const wasAnnounced = this.isAnnounced;
+    this.isAnnounced = instances.some(({ instanceId }) => instanceId === settings.instanceId);
+    if (!wasAnnounced || this.isAnnounced || this.isDraining) return;
+    log.warn('the announcement of the instance is gone; it is announced again');
+    void this.#announce();
+  }
+
   /** Judges the readiness for the load balancer and logs when it has changed since the check before. */
   #checkReadiness(): boolean {
     const isReady = this.isReady();
--- /dev/null
+++ b/packages/policy/src/duties/index.ts
@@ -0,0 +1,2 @@
+export * from './duty-token';
+export * from './lease-term';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -12,3 +12,4 @@
 export * from './availability';
 export * from './pacing';
 export * from './readers';
+export * from './duties';
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -56,6 +56,7 @@
   isValidSendCountMessage: 'gateway.schema.json#/definitions/SendCountMessage',
   isValidStoreMessage: 'gateway.schema.json#/definitions/StoreMessage',
   isValidGossipMessage: 'gateway.schema.json#/definitions/GossipMessage',
+  isValidDutyLease: 'gateway.schema.json#/definitions/DutyLease',
   isValidQuarantineRecord: 'gateway.schema.json#/definitions/QuarantineRecord',
 };
 const ajv = new Ajv({
