--- a/packages/gateway/src/traffic-log.ts
+++ b/packages/gateway/src/traffic-log.ts
@@ -46,6 +46,7 @@
     backend: meter.readBytes('backend'),
     peer: meter.readBytes('peer'),
     store: meter.readBytes('store'),
+    platform: meter.readBytes('platform'),
   };
 }
 
--- a/packages/gateway/src/traffic-meter.ts
+++ b/packages/gateway/src/traffic-meter.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 
 /** What an instance exchanges bytes with. */
-export const TRAFFIC_PARTIES = ['caller', 'backend', 'peer', 'store'] as const;
+export const TRAFFIC_PARTIES = ['caller', 'backend', 'peer', 'store', 'platform'] as const;
 export type TrafficParty = (typeof TRAFFIC_PARTIES)[number];
 export type TrafficDirection = 'received' | 'sent';
 
@@ -20,6 +20,7 @@
     backend: makePartyTraffic(),
     peer: makePartyTraffic(),
     store: makePartyTraffic(),
+    platform: makePartyTraffic(),
   };
 
   /** Counts the bytes of a TCP socket until it is closed. */
