Report the usage of all instances by the holder of the duties

A request counts once, at the first evidence that a server began it. Each instance sends its cumulative counts by window to the holder and the next in rank, at most twice a second and less often in large fleets, and the holder sums them. The counts of a window are written into the lease object before they are sent, so that every repeat and every later holder sends the same; a holder that may lack records after a restore omits the windows before it. Datagrams also tell the holder, so that nobody reads the store for it, and the senders' time of day, by which a clock that was set is told from a suspension. A holder that hears nobody, or whom the platform does not answer for 4 s, leaves the duties to others for a time.

--- a/packages/gateway/src/duties/duty-lease.ts
+++ b/packages/gateway/src/duties/duty-lease.ts
@@ -27,7 +27,7 @@
 /** Shortest wait of the timer in milliseconds; a timer may fire early by less than one. */
 const MIN_WAIT_MS = 1;
 
-/** Another instance that holds the duties, as told by its peers. */
+/** Holder of the duties and its fencing token. */
 export interface KnownHolder {
   ownerId: string;
   token: number;
@@ -120,6 +120,23 @@
     return this.getRecordedUsage() === usage ? this.getFence() : undefined;
   }
 
+  /** Sets the windows of usage that the next renewal writes. */
+  setUsage(usage: readonly RecordedUsage[]): void {
+    this.term.setUsage(usage);
+  }
+
+  /** Whether this instance holds the duties and records of an earlier holder may be lost with a backup. */
+  hasLostRecords(): boolean {
+    return this.term.hasLostRecords();
+  }
+
+  /** Gives the lease up so that another instance takes it, and does not compete for it for a time. */
+  releaseFor(durationMs: number): void {
+    this.term.stopUntil(this.options.clock() + durationMs);
+    this.#notifyChange();
+    this.#advance();
+  }
+
   /** Stops acting and competing, and gives the lease up so that another instance need not wait. */
   async release(): Promise<void> {
     if (this.isStopped) return;
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -50,7 +50,7 @@
   readonly availability: ServerAvailability;
   readonly storeNews: StoreNews;
   private readonly removalSharing: RemovalSharing;
-  private readonly socket: PeerSocket;
+  readonly socket: PeerSocket;
   private readonly gossip: FleetGossip;
   private readonly instanceWatch: InstanceWatch;
   private readonly archive: QuarantineArchive;
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -55,6 +55,8 @@
    * last part, which no other prompt shares.
    */
   reportPrompt(serverId: string, parts: readonly PromptPart[]): void;
+  /** Counts a request of a team that a server began to run. */
+  countRun(teamName: string): void;
   /** Whether requests may go to the listed servers; they may not when their entries should have been read again. */
   isServerListUsable(): boolean;
   /** Resolves when the list of servers is usable, or after `timeoutMs` in milliseconds. */
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -21,6 +21,8 @@
   /** New eras of the store by where the instance has learnt of them, and answers discarded for their era. */
   storeEras: Counter<'source'>;
   outdatedAnswers: Counter;
+  usageReports: Counter<'result'>;
+  usageWindows: Counter<'result'>;
   /** Renders all metrics in the Prometheus text exposition format. */
   renderText(): Promise<string>;
 }
@@ -30,6 +32,10 @@
   countQuarantinedTraits(): number;
   countLimitedServers(): number;
   getStoreEra(): number;
+  /** Fencing token under which the instance holds the duties; 0 if it does not. */
+  getDutyToken(): number;
+  /** Last window of usage of which the instance's report was accepted; 0 if there is none. */
+  getLastReportedWindow(): number;
 }
 
 /** Creates the metrics in a new registry. */
@@ -48,6 +54,17 @@
   createCountGauge(registry, gauges.getStoreEra, {
     name: 'pollendrum_store_era',
     help: 'Era of the store; it rises when the store returns from a backup. 0 for a store without eras.',
+  createCountGauge(registry, () => (gauges.getDutyToken() === 0 ? 0 : 1), {
+    name: 'pollendrum_duty_holder',
+    help: 'Whether the instance holds the duties, 1 or 0.',
+  });
+  createCountGauge(registry, gauges.getDutyToken, {
+    name: 'pollendrum_duty_token',
+    help: 'Fencing token under which the instance holds the duties; 0 if it does not.',
+  });
+  createCountGauge(registry, gauges.getLastReportedWindow, {
+    name: 'pollendrum_usage_last_window',
+    help: 'Last window of usage of which a report of this instance was accepted; 0 if there is none.',
   });
   return {
     requests: new Counter({
@@ -102,6 +119,16 @@
     outdatedAnswers: new Counter({
       name: 'pollendrum_outdated_store_answers_total',
       help: 'Answers of the store that were discarded since they name an earlier era.',
+    usageReports: new Counter({
+      name: 'pollendrum_usage_reports_total',
+      help: 'Calls that report the usage of a window, by result.',
+      labelNames: ['result'],
+      registers,
+    }),
+    usageWindows: new Counter({
+      name: 'pollendrum_usage_windows_total',
+      help: 'Windows of usage by whether they were recorded to be reported or omitted.',
+      labelNames: ['result'],
       registers,
     }),
     leavingServers: new Counter({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,7 +16,7 @@
 import type { BackendServer, RouteBundle } from './bundle';
 import { createCallerServer } from './caller-server';
 import { CrashObserver } from './crash-observer';
-import { DutyLease } from './duties/duty-lease';
+import { DutyTasks } from './duties/duty-tasks';
 import type { DutyCalls, DutyKind } from './duties/types';
 import { recordPrompt } from './gateway-context';
 import type { GatewayContext } from './gateway-context';
@@ -98,7 +98,7 @@
   private readonly storeWatchers: StoreWatchers;
   private readonly callerServer: ReturnType<typeof createCallerServer>;
   private readonly speeds = new SpeedTracker();
-  private readonly dutyLease: DutyLease | undefined;
+  private readonly duties: DutyTasks | undefined;
   private readonly suspension = new SuspensionDetector();
   private removalTimer: NodeJS.Timeout | undefined;
   private readonly trafficLog: TrafficLog;
@@ -149,6 +149,8 @@
       countQuarantinedTraits: () => quarantine.countQuarantined(),
       countLimitedServers: () => limitSharing.countLimited(),
       getStoreEra: () => eras.getEra(),
+      getDutyToken: () => this.duties?.getToken() ?? 0,
+      getLastReportedWindow: () => this.duties?.getLastReportedWindow() ?? 0,
     });
     this.context = {
       settings,
@@ -209,12 +211,15 @@
       reportPrompt: (serverId, parts) => {
         this.fleetExchange.addPrompt({ serverId, parts });
       },
+      countRun: (teamName) => {
+        this.duties?.recordRun(teamName);
+      },
       isServerListUsable: () => this.storeWatchers.isServerListUsable(clock()),
       waitForServerList: (timeoutMs) => this.storeWatchers.waitForServerList(timeoutMs),
       isDraining: () => this.isDraining,
       isAccepting: () => this.isAccepting,
     };
-    this.dutyLease = this.#createDutyLease();
+    this.duties = this.#createDuties();
     this.trafficLog = new TrafficLog(traffic, log);
     this.callerServer = createCallerServer(this.context);
     this.storeWatchers = new StoreWatchers({
@@ -231,6 +236,8 @@
         groups.update(instances.map(({ instanceId }) => instanceId));
         this.fleetExchange.setInstances(instances);
         this.announcement.checkAnnounced(instances, missing);
+        this.duties?.setInstances(instances);
+        this.#checkAnnouncement(instances);
       },
     });
   }
@@ -253,7 +260,7 @@
     await Promise.race([this.announcement.announce(), sleep(MAX_ANNOUNCE_DELAY_MS)]);
     this.storeWatchers.start();
     this.fleetExchange.start();
-    this.dutyLease?.start();
+    this.duties?.start();
     log.info('gateway started', {
       failureDomain: settings.failureDomain,
       callerAddress: settings.callerAddress,
@@ -302,7 +309,7 @@
     const { settings, log, store } = this.options;
     const startedAtMs = this.context.clock();
     log.info('gateway is draining', { openRequests: this.callerServer.countOpenRequests() });
-    void this.dutyLease?.release();
+    void this.duties?.release();
     store.removeObject(INSTANCE_KIND, settings.instanceId).catch((error: unknown) => {
       log.warn('failed to remove the announcement of the instance', { error: String(error) });
     });
@@ -320,6 +327,7 @@
       this.callerServer.endOpenRequests();
       await sleep(LAST_ANSWERS_MS);
     }
+    this.duties?.flush();
     log.info('gateway stopped', {
       openRequests,
       elapsedMs: Math.round(this.context.clock() - startedAtMs),
@@ -330,7 +338,7 @@
     clearTimeout(this.removalTimer);
     this.announcement[Symbol.dispose]();
     this.trafficLog[Symbol.dispose]();
-    await this.dutyLease?.[Symbol.asyncDispose]();
+    await this.duties?.[Symbol.asyncDispose]();
     await this.storeWatchers[Symbol.asyncDispose]();
     await this.fleetExchange[Symbol.asyncDispose]();
     await this.context.backendPool[Symbol.asyncDispose]();
@@ -341,18 +349,15 @@
     await this.options.store[Symbol.asyncDispose]();
   }
 
-  /** Creates the lease of the duties if the platform asks for any. */
-  #createDutyLease(): DutyLease | undefined {
+  /** Creates the tasks of the duties if the platform asks for any. */
+  #createDuties(): DutyTasks | undefined {
     const { settings, duties, store, log } = this.options;
-    if (settings.duties === undefined || duties === undefined || duties.kinds.length === 0) {
-      return undefined;
-    }
-    const { leaseMs } = settings.duties;
-    return new DutyLease({
-      ...{ instanceId: settings.instanceId, store, leaseMs, clock: this.context.clock, log },
-      // Before it is listed, an instance does not know the others and would count as a reader.
-      isCandidate: () => this.isAnnounced && this.fleetExchange.storeNews.isReader(),
-    });
+    if (settings.duties === undefined || duties === undefined) return undefined;
+    if (duties.kinds.length === 0) return undefined;
+    const { clock, metrics } = this.context;
+    const { socket, storeNews } = this.fleetExchange;
+    const options = { ...duties, settings, store, socket, storeNews, clock, log, metrics };
+    return new DutyTasks(options, settings.duties.leaseMs);
   }
 
   /** Announces the instance again if others have removed it while they could not reach it. */
--- a/packages/gateway/src/peer-socket.ts
+++ b/packages/gateway/src/peer-socket.ts
@@ -35,7 +35,7 @@
 }
 
 /** What a datagram carries. */
-export type DatagramKind = 'load-report' | 'gossip' | 'send-counts' | 'store';
+export type DatagramKind = 'load-report' | 'gossip' | 'send-counts' | 'store' | 'usage';
 type DatagramHandler = (bytes: Buffer, sender: SenderAddress) => void;
 
 export interface PeerSocketOptions {
@@ -51,6 +51,7 @@
   [0x83, 'gossip'],
   [0x84, 'send-counts'],
   [0x85, 'load-report'],
+  [0x87, 'usage'],
 ]);
 
 /** UDP socket for the messages between instances. */
--- a/packages/gateway/src/request-dispatcher.ts
+++ b/packages/gateway/src/request-dispatcher.ts
@@ -4,6 +4,8 @@
 import type { LeasedConnection } from './backend-connections';
 import { startAttempt } from './backend-attempt';
 import type { ResponseHead, AttemptEnd, AttemptHandlers, RunningAttempt } from './backend-attempt';
+import { RunEvidence } from './duties/run-evidence';
+import type { AttemptEvidence } from './duties/run-evidence';
 import type { Exchange } from './exchange';
 import { recordPrompt } from './gateway-context';
 import type { AttemptRecord } from './request-log';
@@ -53,6 +55,7 @@
   /** Set when the server returns from a pause. */
   returningSend: ReturningSend | undefined;
   connection: LeasedConnection;
+  evidence: AttemptEvidence;
   /** Whether the server has begun its answer: an event of a stream, or a complete plain response, has arrived. */
   hasAnswerBegun: boolean;
 }
@@ -69,8 +72,10 @@
   /** Whether the retry budget has a send for this request that was withdrawn. */
   private hasUnusedSend = false;
   private crashCheck: Promise<void> | undefined;
+  private readonly evidence: RunEvidence;
 
   constructor(private readonly exchange: Exchange) {
+    this.evidence = new RunEvidence(exchange);
     const { route } = exchange.input;
     this.serviceName = chooseService(route.services);
     this.service = exchange.context.getRouteTable()?.getService(this.serviceName);
@@ -173,7 +178,7 @@
     handlers: AttemptHandlers,
   ): RunningAttempt {
     const { context, input } = this.exchange;
-    const { choice, record, connection } = dispatch;
+    const { choice, record, connection, evidence } = dispatch;
     const startedAtMs = context.clock();
     const overdueTimer = this.#startOverdueTimer(choice);
     const headers = context.codec.encodeRequest(input.request.rawHeaders, {
@@ -196,15 +201,21 @@
         onResponse: (head: ResponseHead) => {
           record.firstByteMs ??= Math.round(context.clock() - startedAtMs);
           this.#observeHead(dispatch, head);
+          evidence.recordHead(head);
           handlers.onResponse(head);
         },
-        checkSend: () => this.#checkSend(choice.server),
+        checkSend: () => {
+          const reason = this.#checkSend(choice.server);
+          if (reason === undefined) evidence.recordSent();
+          return reason;
+        },
         onData: (chunk) => {
           clearTimeout(overdueTimer);
           return handlers.onData(chunk);
         },
         onEnd: (end: AttemptEnd) => {
           clearTimeout(overdueTimer);
+          evidence.recordEnd(end);
           if (end.kind === 'broken') this.observeBrokenAttempt(dispatch);
           if (end.kind === 'withdrawn') this.#recordWithdrawal();
           this.#recordResult(
@@ -220,6 +231,7 @@
       cancel: (reason) => {
         clearTimeout(overdueTimer);
         attempt.cancel(reason);
+        evidence.recordCancel();
         this.#recordResult(dispatch, reason, startedAtMs);
       },
       resume: () => {
@@ -231,6 +243,7 @@
   /** Records that the server has begun its answer, so that the request cannot be what ends the server later. */
   recordAnswerBegun(dispatch: Dispatch): void {
     dispatch.hasAnswerBegun = true;
+    dispatch.evidence.recordAnswer();
     this.exchange.context.quarantine.recordAnswer(this.exchange);
   }
 
@@ -404,7 +417,8 @@
       recordPrompt(context, { serverId, parts }, engine.kvTokens);
       context.reportPrompt(serverId, parts.slice(0, -1));
     }
-    return { choice, record, placed, returningSend, connection, hasAnswerBegun: false };
+    const evidence = this.evidence.createAttempt();
+    return { choice, record, placed, returningSend, connection, evidence, hasAnswerBegun: false };
   }
 }
 
--- a/packages/gateway/src/store-news.ts
+++ b/packages/gateway/src/store-news.ts
@@ -186,6 +186,11 @@
     return this.contact.isReader(this.options.clock());
   }
 
+  /** Lists the first instances in rank that are not silent, this one included. */
+  listReaders(count: number): string[] {
+    return this.contact.listReaders(this.options.clock(), count);
+  }
+
   /** Asks at once, since the objects have just been listed or may be out of date. */
   requestNews(): void {
     this.round.clear();
--- a/packages/gateway/test/gateway-fixture.ts
+++ b/packages/gateway/test/gateway-fixture.ts
@@ -4,10 +4,11 @@
 import { request } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { GatewaySettings } from '@pollendrum/protocol';
+import type { DutySettings, GatewaySettings } from '@pollendrum/protocol';
 import { Gateway, TrafficMeter } from '../src';
 import type {
   GatewayLog,
+  GatewayOptions,
   HeaderNames,
   BackendServer,
   ObjectStore,
@@ -143,6 +144,8 @@
   /** Makes what the gateway uses in place of the store; the store itself by default. */
   wrapStore?: ((store: FakeStore) => ObjectStore) | undefined;
   instanceId?: string;
+  /** Calls that one instance makes for the fleet, with their settings; none by default. */
+  duties?: NonNullable<GatewayOptions['duties']> & { settings: DutySettings };
 }
 
 /** Starts a gateway on the loopback interface with a store in memory. */
@@ -172,9 +175,11 @@
     retryRatio: 0.2,
     retryWindowSeconds: 10,
     retrySlack: 50,
+    ...(options.duties && { duties: options.duties.settings }),
   };
   const gateway = new Gateway({
     settings,
+    duties: options.duties,
     store: options.wrapStore?.(store) ?? store,
     headerNames: HEADER_NAMES,
     decoders: {
--- a/packages/policy/src/duties/lease-term.ts
+++ b/packages/policy/src/duties/lease-term.ts
@@ -57,9 +57,13 @@
   record: LeaseRecord | undefined;
   firstSeenAtMs: number;
   lastSeenAtMs: number;
+  /** Whether this instance has held the lease without a gap until a restore, so that it knows all records. */
+  isOwnUntilRestore: boolean;
 }
 
 interface Hold {
+  /** Whether a lease before this one, with its records, may have been lost with a backup. */
+  mayLackRecords: boolean;
   record: LeaseRecord;
   revision: number;
   era: number;
@@ -88,7 +92,9 @@
   private refusedToken = 0;
   private isWanted = true;
   private retryAtMs = -Infinity;
+  private pausedUntilMs = -Infinity;
   private isReadDue = false;
+  private lastTake: { token: number; mayLackRecords: boolean } | undefined;
   private usage: readonly RecordedUsage[] | undefined;
 
   constructor(private readonly options: LeaseTermOptions) {}
@@ -96,6 +102,7 @@
   /** Returns the token with which the instance may act now; undefined if it may not. */
   getToken(moment: LeaseMoment): { token: number; era: number } | undefined {
     if (this.hold === undefined || !this.isWanted) return undefined;
+    if (moment.nowMs < this.pausedUntilMs) return undefined;
     const { record, era, renewedAt } = this.hold;
     if (record.token <= this.refusedToken || hasBeenSuspended(renewedAt, moment)) return undefined;
     const { leaseMs } = this.options;
@@ -108,6 +115,11 @@
     return this.hold?.record ?? this.sighting?.record;
   }
 
+  /** Whether this instance holds the lease and records of an earlier holder may be lost with a backup. */
+  hasLostRecords(): boolean {
+    return this.hold?.mayLackRecords === true;
+  }
+
   /** Returns the highest token that the instance knows of. */
   getHighestToken(): number {
     return this.highestToken;
@@ -130,8 +142,11 @@
     const intervalMs = this.options.leaseMs / RENEWALS_PER_LEASE;
     if (!this.isWanted) return { kind: 'wait', untilMs: nowMs + intervalMs };
     if (this.isReadDue) return { kind: 'read' };
+    const isPaused = nowMs < this.pausedUntilMs;
+    const release = isPaused ? this.buildRenewal(true) : undefined;
+    if (release !== undefined) return release;
     if (this.hold !== undefined) return this.#chooseHolderStep(this.hold, moment, intervalMs);
-    if (!isCandidate) return { kind: 'wait', untilMs: nowMs + intervalMs };
+    if (!isCandidate || isPaused) return { kind: 'wait', untilMs: nowMs + intervalMs };
     const { sighting } = this;
     if (sighting === undefined) return { kind: 'read' };
     // The lease is read again at its end, so that a write does not replace what a restore has put under the same revision.
@@ -181,6 +196,7 @@
     this.hold = undefined;
     if (isUnbroken && isUnclaimed && this.sighting !== undefined) {
       this.sighting.firstSeenAtMs = -Infinity;
+      this.sighting.isOwnUntilRestore = true;
     }
   }
 
@@ -202,8 +218,8 @@
     this.#recordSighting({ era, revision, record }, startedAt.nowMs);
     // After a restore the write may have replaced another's lease under the same revision.
     const isOtherEra = era !== (this.hold?.era ?? lastEra);
-    this.hold =
-      record.isReleased || isOtherEra ? undefined : { record, revision, era, renewedAt: startedAt };
+    if (record.isReleased || isOtherEra) this.hold = undefined;
+    else this.hold = { record, revision, era, renewedAt: startedAt, ...this.#describeTake(record) };
   }
 
   /** Takes in that a write was refused by the store without telling what it holds. */
@@ -223,6 +239,11 @@
     this.refusedToken = Math.max(this.refusedToken, token);
   }
 
+  /** Gives the lease up and does not compete for it until a time. */
+  stopUntil(untilMs: number): void {
+    this.pausedUntilMs = untilMs;
+  }
+
   /** Ends all attempts to hold the lease. */
   stop(): void {
     this.isWanted = false;
@@ -237,14 +258,17 @@
     }
     if (!isRefused) return this.buildRenewal() ?? { kind: 'read' };
     // With a new token the instance is another holder; the write fails if the lease has been taken over.
-    return this.#buildTake({ ...hold, firstSeenAtMs: 0, lastSeenAtMs: 0 });
+    const times = { firstSeenAtMs: 0, lastSeenAtMs: 0 };
+    return this.#buildTake({ ...hold, ...times, isOwnUntilRestore: !hold.mayLackRecords });
   }
 
-  #buildTake({ revision, record }: Sighting): LeaseStep {
+  #buildTake({ revision, record, era, isOwnUntilRestore }: Sighting): LeaseStep {
     const { instanceId, incarnation, pickRandom } = this.options;
     const stored = record?.token ?? 0;
     const token = computeNextToken(this.eras.getEra(), stored, this.highestToken, pickRandom());
     this.observeToken(token);
+    const isOfEra = record !== undefined && computeTokenEra(record.token) >= era;
+    this.lastTake = { token, mayLackRecords: !isOfEra && !isOwnUntilRestore };
     const sequence = (record?.sequence ?? 0) + 1;
     const usage = record?.usage ?? [];
     this.usage = undefined;
@@ -268,14 +292,22 @@
     if (record === undefined || revision === undefined || !this.#isOwn(record)) return;
     const isPresentEra = computeTokenEra(record.token) >= era;
     if (record.isReleased || !isPresentEra || !this.isWanted) return;
-    this.hold = { record, revision, era, renewedAt: { nowMs: -Infinity, offsetMs } };
+    const renewedAt = { nowMs: -Infinity, offsetMs };
+    this.hold = { record, revision, era, renewedAt, ...this.#describeTake(record) };
+  }
+
+  /** Tells of a lease whether records may be lost; if it was not taken by the last try, that is not known. */
+  #describeTake({ token }: LeaseRecord): Pick<Hold, 'mayLackRecords'> {
+    if (this.hold?.record.token === token) return { mayLackRecords: this.hold.mayLackRecords };
+    return { mayLackRecords: this.lastTake?.token !== token || this.lastTake.mayLackRecords };
   }
 
   #recordSighting(seen: Pick<Sighting, 'era' | 'revision' | 'record'>, nowMs: number): void {
     const { sighting } = this;
     const isSame = sighting?.era === seen.era && sighting.revision === seen.revision;
     const firstSeenAtMs = isSame ? sighting.firstSeenAtMs : nowMs;
-    this.sighting = { ...seen, firstSeenAtMs, lastSeenAtMs: nowMs };
+    const isOwnUntilRestore = isSame && sighting.isOwnUntilRestore;
+    this.sighting = { ...seen, firstSeenAtMs, lastSeenAtMs: nowMs, isOwnUntilRestore };
   }
 }
 
--- a/packages/policy/src/readers/reader-contact.ts
+++ b/packages/policy/src/readers/reader-contact.ts
@@ -64,6 +64,11 @@
     return (random * instanceCount * MS_PER_SECOND) / probesPerSecond;
   }
 
+  /** Lists the first instances in rank that are not silent, this one included. */
+  listReaders(nowMs: number, count: number): string[] {
+    return this.#listResponsive(nowMs, count);
+  }
+
   /** Whether all instances may call the store at once without a rush of calls. */
   isSmallFleet(): boolean {
     return this.ranked.length <= MAX_SMALL_FLEET;
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -57,6 +57,7 @@
   isValidStoreMessage: 'gateway.schema.json#/definitions/StoreMessage',
   isValidGossipMessage: 'gateway.schema.json#/definitions/GossipMessage',
   isValidDutyLease: 'gateway.schema.json#/definitions/DutyLease',
+  isValidUsageMessage: 'gateway.schema.json#/definitions/UsageMessage',
   isValidQuarantineRecord: 'gateway.schema.json#/definitions/QuarantineRecord',
 };
 const ajv = new Ajv({
