Decode the scaling of services and the mark of preemptible servers

The bounds and prices within which servers may be ordered were not read. A wrong field there must not keep the rest of a configuration from being applied, so decoders now return findings about ignored fields beside the value; the gateway logs them and keeps the scaling that was in force for the service. An entry with an invalid mark still describes a server.

--- a/packages/gateway/src/bundle.ts
+++ b/packages/gateway/src/bundle.ts
@@ -57,6 +57,8 @@
   name: string;
   /** Undefined when no servers are ordered for the service. */
   scaling?: ServiceScaling | undefined;
+  /** Whether the configuration states an invalid scaling, so that the one in force before is kept. */
+  hasInvalidScaling?: boolean;
   /** Maximum number of connections to one server from all gateway instances together. */
   maxConnections: number;
   /** Undefined when the service's servers are not model engines. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import { RouteTable } from './route-table';
 import type { LeavingSource } from './server-availability';
 import { ServerChooser } from './server-chooser';
+import { resolveScaling } from './scaling/valid-scaling';
 import { ServerRegistry } from './server-registry';
 import type { ServerChange } from './server-registry';
 import { StoreEraWatch } from './store-era-watch';
@@ -451,7 +452,7 @@
       }
       return;
     }
-    this.routeTable = new RouteTable(bundle);
+    this.routeTable = new RouteTable(resolveScaling(bundle, this.routeTable));
     this.callerServer.applyLimits(bundle.limits);
     log.info('configuration in force', {
       version: bundle.version,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,5 +5,5 @@
 export type { HeaderNames } from './header-codec';
 export type * from './log-and-clock';
 export type * from './object-store';
-export type { ObjectDecoders } from './store-watchers';
+export type { DecodeResult, ObjectDecoders } from './store-watchers';
 export { TrafficMeter } from './traffic-meter';
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { formatFinding } from '@pollendrum/protocol';
-import type { ParseResult } from '@pollendrum/protocol';
+import type { Finding } from '@pollendrum/protocol';
 import type { BackendServer, RouteBundle } from './bundle';
 import { InstanceDirectory } from './instance-directory';
 import { KEY_WATCH_WAIT_MS } from './key-freshness';
@@ -17,13 +17,17 @@
 import type { StorePosition } from './store-position';
 import type { ObjectChange, ObjectStore, StoredObject, StoreEra } from './object-store';
 
+/** A decoded object with findings about fields that were left out although the rest is valid, or why it is invalid. */
+export type DecodeResult<T> =
+  { ok: true; value: T; ignored?: readonly Finding[] } | { ok: false; findings: Finding[] };
+
 /** Decodes the platform's stored objects into the gateway's types. */
 export interface ObjectDecoders {
   bundleKind: string;
   bundleName: string;
-  decodeBundle(spec: unknown): ParseResult<RouteBundle>;
+  decodeBundle(spec: unknown): DecodeResult<RouteBundle>;
   serverKind: string;
-  decodeServer(name: string, spec: unknown): ParseResult<BackendServer>;
+  decodeServer(name: string, spec: unknown): DecodeResult<BackendServer>;
 }
 
 export interface StoreWatchersOptions {
@@ -302,6 +306,7 @@
     if (object.name !== decoders.bundleName) return;
     const parsed = decoders.decodeBundle(object.spec);
     if (parsed.ok) {
+      this.#reportIgnored(object, parsed.ignored);
       this.eraBundles.observe(parsed.value.version, isWritten);
       onBundle(parsed.value, object.revision);
       return;
@@ -328,9 +333,13 @@
     }
   }
 
-  #decodeServer({ name, spec, revision }: StoredObject, era: StoreEra): ServerEntry | undefined {
+  #decodeServer(object: StoredObject, era: StoreEra): ServerEntry | undefined {
+    const { name, spec, revision } = object;
     const parsed = this.options.decoders.decodeServer(name, spec);
-    if (parsed.ok) return { server: parsed.value, position: { era, revision } };
+    if (parsed.ok) {
+      this.#reportIgnored(object, parsed.ignored);
+      return { server: parsed.value, position: { era, revision } };
+    }
     this.options.log.warn('invalid entry of a backend server', {
       serverId: name,
       findings: parsed.findings.map(formatFinding),
@@ -338,6 +347,13 @@
     return undefined;
   }
 
+  #reportIgnored({ name, revision }: StoredObject, ignored: readonly Finding[] = []): void {
+    if (ignored.length === 0) return;
+    this.options.log.warn('invalid fields of an object ignored; the values before stay in force', {
+      ...{ name, revision, findings: ignored.map(formatFinding) },
+    });
+  }
+
   #decodeInstance(object: StoredObject): PeerAddress | undefined {
     const spec = (object.spec ?? {}) as Record<string, unknown>;
     const { address, port, isWatchable, isReaderCandidate, failureDomain } = spec;
