Add the policy that decides which servers are ordered for a service

Nothing decided how many servers a service needs. More servers are ordered at once; others are given back as far as those that take requests cover the need without them. OrderBook keeps what was accepted and repeats an order when the servers differ from it for longer than they take to boot, since nothing can be read back.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,3 +13,4 @@
 export * from './pacing';
 export * from './readers';
 export * from './duties';
+export * from './scaling';
--- /dev/null
+++ b/packages/policy/src/scaling/desired-servers.ts
@@ -0,0 +1,140 @@
+import type { FleetPlan, PlanNeed, PlannedDomain } from './fleet-plan';
+import type { OrderBook } from './order-book';
+import type { DesiredServers, ServerKind } from './types';
+
+/** Servers are given back only if the plan costs less than this share of the current orders, so that orders do not swing. */
+const MAX_KEPT_PRICE_SHARE = 0.9;
+
+/** What the orders of a service are to become, and what they are now. */
+export interface DesiredContext {
+  book: OrderBook;
+  domains: readonly PlannedDomain[];
+  /** Plan with the servers that are to be had. */
+  plan: FleetPlan;
+  /** Plan if servers of both kinds were to be had everywhere. */
+  wantedPlan: FleetPlan;
+  need: PlanNeed;
+}
+
+/**
+ * Computes the next orders on the way to a plan: more servers are ordered at once, and others are given back as far as the
+ * servers that take requests now cover the need without them.
+ */
+export function computeDesiredServers(context: DesiredContext): DesiredServers[] {
+  const { maxServers } = context.need;
+  const desired = computeLowered(computeRaised(context), context);
+  const preemptible = new Map(
+    desired
+      .filter(({ kind }) => kind === 'preemptible')
+      .map(({ failureDomain, count }) => [failureDomain, Math.min(count, maxServers)]),
+  );
+  // The bounds may be below what is present.
+  return desired.map((order) => {
+    const others = order.kind === 'preemptible' ? 0 : (preemptible.get(order.failureDomain) ?? 0);
+    return { ...order, count: Math.min(order.count, maxServers - others) };
+  });
+}
+
+/** Raises the orders to their targets, as far as the servers of the other kind leave room in the failure domain. */
+function computeRaised(context: DesiredContext): DesiredServers[] {
+  const { book, domains, need } = context;
+  return domains.flatMap(({ failureDomain }) => {
+    const computeCount = (kind: ServerKind, others: number) =>
+      Math.max(
+        book.countOrdered(failureDomain, kind),
+        Math.min(getTarget(context, failureDomain, kind), need.maxServers - others),
+      );
+    const preemptible = computeCount('preemptible', book.countOrdered(failureDomain, 'on-demand'));
+    return [
+      { failureDomain, kind: 'preemptible', count: preemptible },
+      { failureDomain, kind: 'on-demand', count: computeCount('on-demand', preemptible) },
+    ] satisfies DesiredServers[];
+  });
+}
+
+/** Lowers the orders to their targets, the most expensive first. */
+function computeLowered(
+  raised: readonly DesiredServers[],
+  context: DesiredContext,
+): DesiredServers[] {
+  const { domains, plan } = context;
+  const priceOf = ({ failureDomain, kind }: DesiredServers) =>
+    domains.find((domain) => domain.failureDomain === failureDomain)?.prices[kind] ?? 0;
+  const price = raised.reduce((sum, order) => sum + order.count * priceOf(order), 0);
+  if (plan.price > price * MAX_KEPT_PRICE_SHARE) return [...raised];
+  const lowered = raised.map((order) => ({ ...order }));
+  const present = new PresentServers(context.book);
+  for (const order of [...lowered].sort((one, other) => priceOf(other) - priceOf(one))) {
+    withdrawServers(order, lowered, present, context);
+  }
+  return lowered;
+}
+
+function withdrawServers(
+  order: DesiredServers,
+  all: readonly DesiredServers[],
+  present: PresentServers,
+  context: DesiredContext,
+): void {
+  const { need, book } = context;
+  const { failureDomain, kind } = order;
+  const countInDomain = () =>
+    all
+      .filter((other) => other.failureDomain === failureDomain)
+      .reduce((sum, { count }) => sum + count, 0);
+  const target = getTarget(context, failureDomain, kind);
+  // Servers that occupy the place of preemptible ones are given back as long as the others outlast a reclaim.
+  const preemptibleTarget = getTarget(context, failureDomain, 'preemptible');
+  const isBlocking = () =>
+    kind === 'on-demand' && preemptibleTarget + order.count > need.maxServers;
+  while (order.count > target && countInDomain() > need.minServers) {
+    // Servers that have not appeared yet can be given back without harm.
+    const isPresent = book.countPresent(failureDomain, kind) >= order.count;
+    if (isPresent) {
+      const required = { ...need, total: isBlocking() ? 0 : need.total };
+      if (!present.isCoveredWithout(failureDomain, kind, required)) return;
+      present.remove(failureDomain, kind);
+    }
+    order.count -= 1;
+  }
+}
+
+/** An order that finds no servers is repeated as if there were some; the others make up for it. */
+function getTarget(context: DesiredContext, failureDomain: string, kind: ServerKind): number {
+  const { book, plan, wantedPlan } = context;
+  const { counts } = book.isAvailable(failureDomain, kind) ? plan : wantedPlan;
+  return counts.get(failureDomain)?.[kind] ?? 0;
+}
+
+/** Servers that take requests now, less those that are given back. */
+class PresentServers {
+  private total = 0;
+  private readonly preemptible = new Map<string, number>();
+
+  constructor(book: OrderBook) {
+    for (const failureDomain of book.listDomains()) {
+      const preemptible = book.countPresent(failureDomain, 'preemptible');
+      this.preemptible.set(failureDomain, preemptible);
+      this.total += preemptible + book.countPresent(failureDomain, 'on-demand');
+    }
+  }
+
+  /** Whether the need is still covered with one server less. */
+  isCoveredWithout(
+    failureDomain: string,
+    kind: ServerKind,
+    need: Pick<PlanNeed, 'total' | 'afterReclaim'>,
+  ): boolean {
+    const losses = [...this.preemptible].map(([domain, count]) =>
+      domain === failureDomain && kind === 'preemptible' ? count - 1 : count,
+    );
+    const total = this.total - 1;
+    return total >= need.total && total - Math.max(0, ...losses) >= need.afterReclaim;
+  }
+
+  remove(failureDomain: string, kind: ServerKind): void {
+    this.total -= 1;
+    if (kind === 'on-demand') return;
+    this.preemptible.set(failureDomain, (this.preemptible.get(failureDomain) ?? 0) - 1);
+  }
+}
--- /dev/null
+++ b/packages/policy/src/scaling/order-book.ts
@@ -0,0 +1,170 @@
+import type { DesiredServers, FleetCounts, ServerKind } from './types';
+
+/** Outcome of an order; `unavailable`: no such servers are to be had there now. */
+export type OrderOutcome = 'accepted' | 'unavailable' | 'throttled' | 'unknown';
+
+/** Time for which an order that found no servers is not repeated, in milliseconds. They are back within 8 to 10 s. */
+const UNAVAILABLE_RETRY_MS = 3_000;
+/** Time for which none are assumed to be had there, in milliseconds; longer than until the next answer to a repeated order. */
+const REFUSAL_MS = 5_000;
+/** Shortest interval between two orders for a failure domain, in milliseconds. */
+const MIN_ORDER_INTERVAL_MS = 950;
+/** Orders in a row without an answer after which they are repeated less often. */
+const MAX_QUICK_REPEATS = 3;
+const SLOW_REPEAT_MS = 3_000;
+/** Time on top of the boot time until ordered servers must have appeared, in milliseconds: orders and entries take time. */
+const DELIVERY_MARGIN_MS = 2_500;
+
+/** What is known of the servers of one kind in one failure domain. */
+interface Subject {
+  failureDomain: string;
+  kind: ServerKind;
+  present: number;
+  /** Largest number of servers that were present before the first accepted order. */
+  baseline: number;
+  accepted: { count: number; atMs: number } | undefined;
+  /** Whether servers were lost since the last accepted order, so that it is repeated. */
+  hasLosses: boolean;
+  /** Time until which a refusal by the platform holds. */
+  refusedUntilMs: number;
+  isRefused: boolean;
+  /** Whether servers of an accepted order have not appeared in time. */
+  isUndelivered: boolean;
+  isSending: boolean;
+  retryAtMs: number;
+  unknownInRow: number;
+}
+
+/**
+ * Keeps the orders of a service and what came of them. Nothing can be read back from the platform, so an order is repeated
+ * when the servers that are present differ from it for longer than they take to start or stop.
+ */
+export class OrderBook {
+  private readonly subjects = new Map<string, Subject>();
+  private readonly sentAtMs = new Map<string, number>();
+
+  /** Takes in the servers that take requests; a failure domain that is not contained has none. */
+  observe(fleet: FleetCounts, nowMs: number, bootMs: number): void {
+    for (const [failureDomain, counts] of fleet) {
+      for (const kind of ['preemptible', 'on-demand'] as const) {
+        this.#observeSubject(this.#getSubject(failureDomain, kind), counts[kind], nowMs, bootMs);
+      }
+    }
+    for (const subject of this.subjects.values()) {
+      if (!fleet.has(subject.failureDomain)) this.#observeSubject(subject, 0, nowMs, bootMs);
+    }
+  }
+
+  /** Lists the failure domains in which the service has or had servers. */
+  listDomains(): string[] {
+    return [...new Set([...this.subjects.values()].map(({ failureDomain }) => failureDomain))];
+  }
+
+  countPresent(failureDomain: string, kind: ServerKind): number {
+    return this.subjects.get(makeKey(failureDomain, kind))?.present ?? 0;
+  }
+
+  /** Servers that were ordered last, or that were present before the first order. */
+  countOrdered(failureDomain: string, kind: ServerKind): number {
+    const subject = this.subjects.get(makeKey(failureDomain, kind));
+    return subject?.accepted?.count ?? subject?.baseline ?? 0;
+  }
+
+  /** Servers that were ordered and are expected to appear. */
+  countBooting(failureDomain: string, kind: ServerKind): number {
+    const subject = this.subjects.get(makeKey(failureDomain, kind));
+    if (subject?.accepted === undefined || isUnavailable(subject)) return 0;
+    return Math.max(0, subject.accepted.count - subject.present);
+  }
+
+  isAvailable(failureDomain: string, kind: ServerKind): boolean {
+    const subject = this.subjects.get(makeKey(failureDomain, kind));
+    return subject === undefined || !isUnavailable(subject);
+  }
+
+  /** Selects the orders to be sent now, at most one for each failure domain; those for more servers go first. */
+  selectDue(desired: readonly DesiredServers[], nowMs: number, bootMs: number): DesiredServers[] {
+    const due = desired.filter((order) => this.#isDue(order, nowMs, bootMs));
+    const raisesFirst = due.sort((one, other) => this.#countAdded(other) - this.#countAdded(one));
+    const byDomain = new Map<string, DesiredServers>();
+    for (const order of raisesFirst) {
+      if (!byDomain.has(order.failureDomain)) byDomain.set(order.failureDomain, order);
+    }
+    return [...byDomain.values()];
+  }
+
+  recordSend({ failureDomain, kind }: DesiredServers, nowMs: number): void {
+    this.sentAtMs.set(failureDomain, nowMs);
+    this.#getSubject(failureDomain, kind).isSending = true;
+  }
+
+  recordOutcome(order: DesiredServers, outcome: OrderOutcome, nowMs: number): void {
+    const subject = this.#getSubject(order.failureDomain, order.kind);
+    subject.isSending = false;
+    subject.unknownInRow = outcome === 'unknown' ? subject.unknownInRow + 1 : 0;
+    switch (outcome) {
+      case 'accepted':
+        subject.accepted = { count: order.count, atMs: nowMs };
+        subject.hasLosses = false;
+        subject.isRefused = false;
+        return;
+      case 'unavailable':
+        subject.isRefused = true;
+        subject.retryAtMs = nowMs + UNAVAILABLE_RETRY_MS;
+        subject.refusedUntilMs = nowMs + REFUSAL_MS;
+        return;
+      case 'throttled':
+        return;
+      case 'unknown':
+        if (subject.unknownInRow >= MAX_QUICK_REPEATS) subject.retryAtMs = nowMs + SLOW_REPEAT_MS;
+        return;
+    }
+  }
+
+  #observeSubject(subject: Subject, present: number, nowMs: number, bootMs: number): void {
+    const { accepted } = subject;
+    if (nowMs >= subject.refusedUntilMs) subject.isRefused = false;
+    if (present < Math.min(subject.present, accepted?.count ?? 0)) subject.hasLosses = true;
+    if (accepted === undefined) subject.baseline = Math.max(subject.baseline, present);
+    if (present > subject.present) subject.isUndelivered = false;
+    subject.present = present;
+    if (accepted === undefined || present >= accepted.count || subject.hasLosses) return;
+    if (nowMs - accepted.atMs > bootMs + DELIVERY_MARGIN_MS) subject.isUndelivered = true;
+  }
+
+  #isDue({ failureDomain, kind, count }: DesiredServers, nowMs: number, bootMs: number): boolean {
+    const subject = this.#getSubject(failureDomain, kind);
+    const sentAtMs = this.sentAtMs.get(failureDomain) ?? -Infinity;
+    if (subject.isSending || nowMs < subject.retryAtMs) return false;
+    if (nowMs - sentAtMs < MIN_ORDER_INTERVAL_MS) return false;
+    const { accepted, present, hasLosses } = subject;
+    if (accepted === undefined) return count !== present;
+    if (count !== accepted.count || hasLosses) return true;
+    return present !== count && nowMs - accepted.atMs > bootMs + DELIVERY_MARGIN_MS;
+  }
+
+  #countAdded({ failureDomain, kind, count }: DesiredServers): number {
+    return count - this.countPresent(failureDomain, kind);
+  }
+
+  #getSubject(failureDomain: string, kind: ServerKind): Subject {
+    const key = makeKey(failureDomain, kind);
+    const known = this.subjects.get(key);
+    if (known !== undefined) return known;
+    const subject: Subject = {
+      ...{ failureDomain, kind, present: 0, baseline: 0, accepted: undefined, unknownInRow: 0 },
+      ...{ hasLosses: false, isRefused: false, isUndelivered: false, isSending: false },
+      ...{ retryAtMs: -Infinity, refusedUntilMs: -Infinity },
+    };
+    this.subjects.set(key, subject);
+    return subject;
+  }
+}
+
+function isUnavailable({ isRefused, isUndelivered }: Subject): boolean {
+  return isRefused || isUndelivered;
+}
+
+function makeKey(failureDomain: string, kind: ServerKind): string {
+  return `${kind} ${failureDomain}`;
+}
