Order servers while an instance holds the duties

The policy of the ordered servers had no caller. Without an up-to-date list of servers nothing is observed or ordered, and a new term begins without knowledge.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,4 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { createScalingMetrics } from './scaling/scaling-metrics';
+import type { ScalingMetrics } from './scaling/scaling-metrics';
 import { TRAFFIC_PARTIES } from './traffic-meter';
 import type { TrafficMeter } from './traffic-meter';
 
@@ -23,6 +25,7 @@
   outdatedAnswers: Counter;
   usageReports: Counter<'result'>;
   usageWindows: Counter<'result'>;
+  scaling: ScalingMetrics;
   /** Renders all metrics in the Prometheus text exposition format. */
   renderText(): Promise<string>;
 }
@@ -137,6 +140,7 @@
       labelNames: ['service', 'source'],
       registers,
     }),
+    scaling: createScalingMetrics(registry),
     renderText: () => registry.metrics(),
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { CrashObserver } from './crash-observer';
 import { DutyTasks } from './duties/duty-tasks';
 import type { DutyCalls, DutyKind } from './duties/types';
+import type { DutyCalls, DutyHolder, DutyKind } from './duties/types';
 import { recordPrompt } from './gateway-context';
 import type { GatewayContext } from './gateway-context';
 import { FleetExchange } from './fleet-exchange';
@@ -33,6 +34,7 @@
 import { RouteTable } from './route-table';
 import type { LeavingSource } from './server-availability';
 import { ServerChooser } from './server-chooser';
+import { ScalingTask } from './scaling/scaling-task';
 import { resolveScaling } from './scaling/valid-scaling';
 import { ServerRegistry } from './server-registry';
 import type { ServerChange } from './server-registry';
@@ -52,7 +54,7 @@
   log: GatewayLog;
   traffic: TrafficMeter;
   /** Calls that one instance makes for the fleet, and those that the platform asks for; undefined if there are none. */
-  duties?: { calls: DutyCalls; kinds: readonly DutyKind[] } | undefined;
+  duties?: { calls: DutyCalls; kinds: readonly DutyKind[]; holder?: DutyHolder } | undefined;
 }
 
 /** Settings that are read at each use, so that a reload takes effect without a restart. */
@@ -103,6 +105,7 @@
   private readonly suspension = new SuspensionDetector();
   private removalTimer: NodeJS.Timeout | undefined;
   private readonly trafficLog: TrafficLog;
+  private readonly scalingTask: ScalingTask | undefined;
   private readonly httpServers: Server[] = [];
 
   constructor(private readonly options: GatewayOptions) {
@@ -222,6 +225,15 @@
     };
     this.duties = this.#createDuties();
     this.trafficLog = new TrafficLog(traffic, log);
+    const { calls, kinds, holder } = options.duties ?? {};
+    if (calls !== undefined && holder !== undefined && kinds?.includes('server-orders')) {
+      this.scalingTask = new ScalingTask({
+        ...{ holder, calls, clock, log, registry, loads, groups, availability },
+        metrics: metrics.scaling,
+        listServices: () => this.routeTable?.bundle.services ?? [],
+        isServerListUsable: () => this.storeWatchers.isServerListUsable(clock()),
+      });
+    }
     this.callerServer = createCallerServer(this.context);
     this.storeWatchers = new StoreWatchers({
       ...{ store: options.store, decoders: options.decoders, log, clock, registry, eras },
@@ -262,6 +274,7 @@
     this.storeWatchers.start();
     this.fleetExchange.start();
     this.duties?.start();
+    this.scalingTask?.start();
     log.info('gateway started', {
       failureDomain: settings.failureDomain,
       callerAddress: settings.callerAddress,
@@ -340,6 +353,7 @@
     this.announcement[Symbol.dispose]();
     this.trafficLog[Symbol.dispose]();
     await this.duties?.[Symbol.asyncDispose]();
+    await this.scalingTask?.[Symbol.asyncDispose]();
     await this.storeWatchers[Symbol.asyncDispose]();
     await this.fleetExchange[Symbol.asyncDispose]();
     await this.context.backendPool[Symbol.asyncDispose]();
--- a/packages/policy/src/scaling/service-scaler.ts
+++ b/packages/policy/src/scaling/service-scaler.ts
@@ -96,6 +96,16 @@
     this.book.recordOutcome(order, outcome, nowMs);
   }
 
+  /** Servers that take requests, as observed last. */
+  countPresent(failureDomain: string, kind: ServerKind): number {
+    return this.book.countPresent(failureDomain, kind);
+  }
+
+  /** Servers in the last accepted order, or those that were present before it. */
+  countOrdered(failureDomain: string, kind: ServerKind): number {
+    return this.book.countOrdered(failureDomain, kind);
+  }
+
   #computeNeed(peak: number, bounds: ScalingBounds, ageMs: number): PlanNeed {
     const { minServers, maxServers } = bounds;
     const prior = ageMs < PRIOR_MS ? this.serversAtStart : 0;
