Move streams from servers that the platform takes back, before they are gone

A preemptible server that is taken back writes draining with leaves_ms, the time left. It gets no new work like any draining server (checked by a new test). Its running streams were noticed only when the connection broke or had been silent for a second, and requests without an answer counted as evidence that they crash servers, so that sound requests could be held back.

A resumable stream that still runs 0.3 to 0.7 s before the end goes on elsewhere if an attempt, the retry budget and another server allow it; others stay. The margin covers the age of the entry, and its spread keeps the streams of all instances from moving at once. The end of a server that is taken back is no evidence of a crash.

--- a/packages/gateway/src/bundle.ts
+++ b/packages/gateway/src/bundle.ts
@@ -103,6 +103,8 @@
   state: ServerState;
   /** Whether the platform may reclaim the server at short notice; false by default. */
   isPreemptible?: boolean;
+  /** Time left when a server that is taken back wrote the entry, in milliseconds; undefined if none is stated. */
+  leavesInMs?: number | undefined;
   /**
    * Start time of the server's process in Unix milliseconds. When it changes, the failures, caches and
    * speeds recorded for the previous process are discarded.
--- a/packages/gateway/src/crash-observer.ts
+++ b/packages/gateway/src/crash-observer.ts
@@ -18,6 +18,8 @@
 export interface CrashObserverOptions {
   clock: Clock;
   log: GatewayLog;
+  /** Whether the platform takes the server back, so that its end is no sign of a crash. */
+  isReclaimed(server: BackendServer): boolean;
   onCrash(crash: ObservedCrash): void;
 }
 
@@ -39,7 +41,8 @@
     requestId: string | undefined,
     traits: readonly RequestTrait[],
   ): Promise<void> {
-    const { clock, log, onCrash } = this.options;
+    const { clock, log, onCrash, isReclaimed } = this.options;
+    if (isReclaimed(server)) return;
     // A server process ends once, so its key identifies its crash.
     const crashId = makeServerKey(server);
     const atMs = clock();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import type { GatewayLog } from './log-and-clock';
 import { RouteTable } from './route-table';
 import type { LeavingSource } from './server-availability';
+import { makeServerKey } from './server-key';
 import { ServerChooser } from './server-chooser';
 import { ScalingTask } from './scaling/scaling-task';
 import { resolveScaling } from './scaling/valid-scaling';
@@ -175,8 +176,8 @@
       backendPool: new BackendPool(clock, countInstances, traffic),
       answerBuffers: new AnswerBuffers(),
       crashObserver: new CrashObserver({
-        clock,
-        log,
+        ...{ clock, log },
+        isReclaimed: (server) => availability.reclaimed.has(makeServerKey(server)),
         onCrash: (crash) => {
           metrics.serverCrashes.inc({ service: crash.server.service });
           quarantine.recordCrash(crash);
--- a/packages/gateway/src/server-availability.ts
+++ b/packages/gateway/src/server-availability.ts
@@ -4,6 +4,7 @@
 import type { FleetGossip } from './fleet-gossip';
 import type { LeavingFact } from './gossip-codec';
 import type { Clock } from './log-and-clock';
+import { ReclaimedServers } from './reclaimed-servers';
 import { makeServerKey, parseServerId } from './server-key';
 import type { ServerChange } from './server-registry';
 
@@ -43,6 +44,8 @@
 export class ServerAvailability {
   private readonly leaving: LeavingServers;
   private readonly pauses: ServerPauses;
+  /** Servers that leave at a stated time. */
+  readonly reclaimed = new ReclaimedServers();
 
   constructor(private readonly options: ServerAvailabilityOptions) {
     this.leaving = new LeavingServers((serverKey) => this.#findListed(serverKey) !== undefined);
@@ -122,13 +125,22 @@
     const { server } = change;
     if (isNewUnnamedStart(change)) {
       this.leaving.remove(makeServerKey(server));
+      this.reclaimed.remove(makeServerKey(server));
       this.pauses.removeServers((serverKey) => serverKey === makeServerKey(server));
     }
     if (change.kind !== 'removed' && server.state === 'draining') {
       this.recordLeaving(server, { kind: 'entry' });
+      this.#recordLeaveTime(server);
     }
   }
 
+  /** The entry may be read some time after it was written, so that the server can be gone earlier than recorded. */
+  #recordLeaveTime(server: BackendServer): void {
+    if (server.leavesInMs === undefined) return;
+    const nowMs = this.options.clock();
+    this.reclaimed.record(makeServerKey(server), nowMs + server.leavesInMs, nowMs);
+  }
+
   /**
    * Whether the other instances are told that a server leaves. Starts without a start time are not told, since a late message
    * would be taken for one about the next start.
--- a/packages/gateway/src/stream-attempt.ts
+++ b/packages/gateway/src/stream-attempt.ts
@@ -8,11 +8,18 @@
 import type { EventSequence } from './event-sequence';
 import type { Exchange } from './exchange';
 import type { DecodedResponse } from './header-codec';
+import { makeServerKey } from './server-key';
 import { resolveAttemptOutcome } from './attempt-outcome';
 
 const OK = 200;
 /** Multiple of a stream's longest time between two events after which it counts as stalled. */
 const GAP_FACTOR = 2;
+/**
+ * Time before the end of a server that is taken back at which its streams go on elsewhere, in milliseconds. The time left is
+ * known late by the age of the entry, and the streams of all instances move spread over `MOVE_SPREAD_MS`.
+ */
+const MOVE_MARGIN_MS = 300;
+const MOVE_SPREAD_MS = 400;
 const EVENT_STREAM_TYPE = /^\s*text\/event-stream\s*(;|$)/i;
 
 /** Result of one attempt of a stream. */
@@ -54,6 +61,7 @@
   private paceTimer: NodeJS.Timeout | undefined;
   private readonly startedAtMs: number;
   private hasEvents = false;
+  private isSettled = false;
   /** Whether an event is complete since reading has begun or has stopped last to limit its rate. */
   private hasProgress = false;
   /** Why reading has stopped; meanwhile missing data is no sign of a silent server. */
@@ -65,6 +73,8 @@
   private progressAtMs = Infinity;
   private longestGapMs = 0;
   private attempt: RunningAttempt | undefined;
+  private moveTimer: NodeJS.Timeout | undefined;
+  private endReclaimWatch: () => void = () => undefined;
   private settleRun: (result: StreamAttemptResult) => void = () => undefined;
 
   constructor(private readonly options: StreamAttemptOptions) {
@@ -87,6 +97,7 @@
         },
       });
       this.#startInactivityTimer(computeOverdueAfterMs(dispatch.choice.predictedMs));
+      this.#watchReclaim();
     });
   }
 
@@ -234,6 +245,24 @@
     }, delayMs);
   }
 
+  /** A stream on a server that is taken back goes on elsewhere before the server is gone, if it has not ended by then. */
+  #watchReclaim(): void {
+    const { exchange, dispatch, inactivityTimeoutMs, canRepeat } = this.options;
+    if (inactivityTimeoutMs === undefined || this.isSettled) return;
+    const { availability, clock } = exchange.context;
+    const serverKey = makeServerKey(dispatch.choice.server);
+    const marginMs = MOVE_MARGIN_MS + Math.random() * MOVE_SPREAD_MS;
+    this.endReclaimWatch = availability.reclaimed.watch(serverKey, (leavesAtMs) => {
+      clearTimeout(this.moveTimer);
+      this.moveTimer = setTimeout(
+        () => {
+          if (canRepeat()) this.#failAttempt('the server is taken back');
+        },
+        Math.max(0, leavesAtMs - marginMs - clock()),
+      );
+    });
+  }
+
   #failAttempt(reason: string): void {
     this.attempt?.cancel(reason);
     this.#settle({ kind: 'broken', reason });
@@ -242,6 +271,9 @@
   #settle(result: StreamAttemptResult): void {
     clearTimeout(this.inactivityTimer);
     clearTimeout(this.paceTimer);
+    clearTimeout(this.moveTimer);
+    this.isSettled = true;
+    this.endReclaimWatch();
     this.pauses.clear();
     if (result.kind !== 'other-answer') this.otherBody?.release();
     this.settleRun(this.options.exchange.isEnded() ? { kind: 'ended' } : result);
