Give the places of servers that are not to be had to others

The order is now lowered to what the others leave, and an order for fewer servers does not wait for the next try. An order whose answer is 10 s late no longer blocks further ones.

--- a/packages/policy/src/scaling/desired-servers.ts
+++ b/packages/policy/src/scaling/desired-servers.ts
@@ -39,19 +39,35 @@
 function computeRaised(context: DesiredContext): DesiredServers[] {
   const { book, domains, need } = context;
   return domains.flatMap(({ failureDomain }) => {
-    const computeCount = (kind: ServerKind, others: number) =>
-      Math.max(
-        book.countOrdered(failureDomain, kind),
-        Math.min(getTarget(context, failureDomain, kind), need.maxServers - others),
-      );
-    const preemptible = computeCount('preemptible', book.countOrdered(failureDomain, 'on-demand'));
+    const onDemandOrdered = book.countOrdered(failureDomain, 'on-demand');
+    const onDemandTarget = getTarget(context, failureDomain, 'on-demand');
+    const preemptible = computePreemptible(context, failureDomain);
+    const room = need.maxServers - preemptible;
     return [
       { failureDomain, kind: 'preemptible', count: preemptible },
-      { failureDomain, kind: 'on-demand', count: computeCount('on-demand', preemptible) },
+      {
+        ...{ failureDomain, kind: 'on-demand' },
+        count: Math.max(onDemandOrdered, Math.min(onDemandTarget, room)),
+      },
     ] satisfies DesiredServers[];
   });
 }
 
+function computePreemptible(context: DesiredContext, failureDomain: string): number {
+  const { book, need } = context;
+  const ordered = book.countOrdered(failureDomain, 'preemptible');
+  const target = getTarget(context, failureDomain, 'preemptible');
+  const onDemandOrdered = book.countOrdered(failureDomain, 'on-demand');
+  if (book.isAvailable(failureDomain, 'preemptible')) {
+    return Math.max(ordered, Math.min(target, need.maxServers - onDemandOrdered));
+  }
+  // Servers that are not to be had keep no place from those that make up for them.
+  const onDemandTarget = getTarget(context, failureDomain, 'on-demand');
+  const room = need.maxServers - Math.max(onDemandOrdered, onDemandTarget);
+  const present = book.countPresent(failureDomain, 'preemptible');
+  return Math.max(present, Math.min(Math.max(ordered, target), room));
+}
+
 /** Lowers the orders to their targets, the most expensive first. */
 function computeLowered(
   raised: readonly DesiredServers[],
--- a/packages/policy/src/scaling/load-forecast.ts
+++ b/packages/policy/src/scaling/load-forecast.ts
@@ -6,9 +6,9 @@
  */
 const PEAK_RETENTION_MS = 20_000;
 /** Time constant with which a peak is forgotten after that, in milliseconds. */
-const PEAK_DECAY_MS = 10_000;
+const PEAK_DECAY_MS = 15_000;
 /** Age from which a sample is discarded, in milliseconds; its weight is then below a twentieth. */
-const MAX_SAMPLE_AGE_MS = 50_000;
+const MAX_SAMPLE_AGE_MS = 65_000;
 /** Time over which the trend is measured, in milliseconds; shorter ones follow single requests. */
 const TREND_MS = 3_000;
 /** A trend counts only when the load exceeds its recent peak by this factor; below, capacity for the growth is there. */
--- a/packages/policy/src/scaling/order-book.ts
+++ b/packages/policy/src/scaling/order-book.ts
@@ -3,12 +3,14 @@
 /** Outcome of an order; `unavailable`: no such servers are to be had there now. */
 export type OrderOutcome = 'accepted' | 'unavailable' | 'throttled' | 'unknown';
 
-/** Time for which an order that found no servers is not repeated, in milliseconds. They are back within 8 to 10 s. */
+/** Time for which an order that found no servers is not repeated, unless it is for fewer, in milliseconds. They are back within 8 to 10 s. */
 const UNAVAILABLE_RETRY_MS = 3_000;
 /** Time for which none are assumed to be had there, in milliseconds; longer than until the next answer to a repeated order. */
 const REFUSAL_MS = 5_000;
 /** Shortest interval between two orders for a failure domain, in milliseconds. */
 const MIN_ORDER_INTERVAL_MS = 950;
+/** Longest wait for the answer to an order before another one for the same servers, in milliseconds. */
+const MAX_ANSWER_MS = 10_000;
 /** Orders in a row without an answer after which they are repeated less often. */
 const MAX_QUICK_REPEATS = 3;
 const SLOW_REPEAT_MS = 3_000;
@@ -28,9 +30,11 @@
   /** Time until which a refusal by the platform holds. */
   refusedUntilMs: number;
   isRefused: boolean;
+  refusedCount: number | undefined;
   /** Whether servers of an accepted order have not appeared in time. */
   isUndelivered: boolean;
-  isSending: boolean;
+  /** When the order was sent whose answer is waited for. */
+  sendingSinceMs: number | undefined;
   retryAtMs: number;
   unknownInRow: number;
 }
@@ -95,12 +99,12 @@
 
   recordSend({ failureDomain, kind }: DesiredServers, nowMs: number): void {
     this.sentAtMs.set(failureDomain, nowMs);
-    this.#getSubject(failureDomain, kind).isSending = true;
+    this.#getSubject(failureDomain, kind).sendingSinceMs = nowMs;
   }
 
   recordOutcome(order: DesiredServers, outcome: OrderOutcome, nowMs: number): void {
     const subject = this.#getSubject(order.failureDomain, order.kind);
-    subject.isSending = false;
+    subject.sendingSinceMs = undefined;
     subject.unknownInRow = outcome === 'unknown' ? subject.unknownInRow + 1 : 0;
     switch (outcome) {
       case 'accepted':
@@ -110,6 +114,7 @@
         return;
       case 'unavailable':
         subject.isRefused = true;
+        subject.refusedCount = order.count;
         subject.retryAtMs = nowMs + UNAVAILABLE_RETRY_MS;
         subject.refusedUntilMs = nowMs + REFUSAL_MS;
         return;
@@ -134,10 +139,12 @@
 
   #isDue({ failureDomain, kind, count }: DesiredServers, nowMs: number, bootMs: number): boolean {
     const subject = this.#getSubject(failureDomain, kind);
+    const { accepted, present, hasLosses, sendingSinceMs, retryAtMs, refusedCount } = subject;
+    const isNewlyLower = accepted !== undefined && count < accepted.count && count !== refusedCount;
+    if (nowMs < retryAtMs && !isNewlyLower) return false;
+    if (sendingSinceMs !== undefined && nowMs - sendingSinceMs < MAX_ANSWER_MS) return false;
     const sentAtMs = this.sentAtMs.get(failureDomain) ?? -Infinity;
-    if (subject.isSending || nowMs < subject.retryAtMs) return false;
     if (nowMs - sentAtMs < MIN_ORDER_INTERVAL_MS) return false;
-    const { accepted, present, hasLosses } = subject;
     if (accepted === undefined) return count !== present;
     if (count !== accepted.count || hasLosses) return true;
     return present !== count && nowMs - accepted.atMs > bootMs + DELIVERY_MARGIN_MS;
@@ -153,8 +160,8 @@
     if (known !== undefined) return known;
     const subject: Subject = {
       ...{ failureDomain, kind, present: 0, baseline: 0, accepted: undefined, unknownInRow: 0 },
-      ...{ hasLosses: false, isRefused: false, isUndelivered: false, isSending: false },
-      ...{ retryAtMs: -Infinity, refusedUntilMs: -Infinity },
+      ...{ hasLosses: false, isRefused: false, isUndelivered: false, sendingSinceMs: undefined },
+      ...{ retryAtMs: -Infinity, refusedUntilMs: -Infinity, refusedCount: undefined },
     };
     this.subjects.set(key, subject);
     return subject;
