--- a/packages/policy/test/placement/simulated-engine.ts
+++ b/packages/policy/test/placement/simulated-engine.ts
@@ -1,4 +1,5 @@
 import { DEFAULT_ENGINE_PROFILE, estimateDecodeStepMs } from '../../src';
+import type { EngineProfile } from '../../src';
 
 /** A stream on a simulated engine, with the latencies that its caller observes. */
 export interface SimulatedStream {
@@ -19,7 +20,6 @@
   lastEventAtMs: number;
 }
 
-const PROFILE = DEFAULT_ENGINE_PROFILE;
 const MILLION = 1_000_000;
 
 /** Simulates an inference engine with chunked prefill in virtual time. */
@@ -30,6 +30,23 @@
   private readonly prefills: { stream: SimulatedStream; remainingTokens: number }[] = [];
   private readonly decoding = new Set<Decoding>();
 
+  constructor(private readonly profile: EngineProfile = DEFAULT_ENGINE_PROFILE) {}
+
+  /** Counts the requests that wait behind another request's prefill or for a free slot. */
+  countWaiting(): number {
+    const isPrefilling = this.prefills.length > 0 && this.decoding.size < this.profile.slots;
+    return this.prefills.length - (isPrefilling ? 1 : 0);
+  }
+
+  isIdle(): boolean {
+    return this.prefills.length + this.decoding.size === 0;
+  }
+
+  /** Prompt tokens that are queued for prefill. */
+  countQueuedTokens(): number {
+    return this.prefills.reduce((sum, { remainingTokens }) => sum + remainingTokens, 0);
+  }
+
   start(stream: SimulatedStream, nowMs: number): void {
     this.advance(nowMs);
     this.clockMs = Math.max(this.clockMs, nowMs);
@@ -42,25 +59,24 @@
   }
 
   #runStep(): void {
-    const heldTokens = [...this.decoding].reduce(
-      (sum, { stream }) => sum + stream.contextTokens,
-      0,
-    );
-    const stepMs = estimateDecodeStepMs(PROFILE, this.decoding.size, heldTokens);
+    let heldTokens = 0;
+    for (const { stream } of this.decoding) heldTokens += stream.contextTokens;
+    const stepMs = estimateDecodeStepMs(this.profile, this.decoding.size, heldTokens);
     this.clockMs += this.slowness * (stepMs + this.#runPrefillChunk());
     for (const entry of this.decoding) this.#generateToken(entry);
   }
 
   /** Prefills one chunk of the queued prompts in FIFO order and returns the time it takes, in milliseconds. */
   #runPrefillChunk(): number {
-    let budgetTokens = PROFILE.prefillChunkTokens;
+    let budgetTokens = this.profile.prefillChunkTokens;
     let prefillMs = 0;
-    while (budgetTokens > 0) {
+    while (budgetTokens > 0 && this.decoding.size < this.profile.slots) {
       const prefill = this.prefills[0];
       if (prefill === undefined) break;
       const tokens = Math.min(budgetTokens, prefill.remainingTokens);
       const pairs = (tokens * prefill.stream.contextTokens) / 2 / MILLION;
-      prefillMs += tokens / PROFILE.prefillTokensPerMs + pairs * PROFILE.attentionMsPerMillionPairs;
+      prefillMs +=
+        tokens / this.profile.prefillTokensPerMs + pairs * this.profile.attentionMsPerMillionPairs;
       budgetTokens -= tokens;
       prefill.remainingTokens -= tokens;
       if (prefill.remainingTokens > 0) break;
@@ -74,7 +90,7 @@
     const { stream } = entry;
     entry.generated += 1;
     const isEnd = entry.generated >= stream.outputTokens;
-    if (entry.generated % PROFILE.tokensPerEvent !== 0 && !isEnd) return;
+    if (entry.generated % this.profile.tokensPerEvent !== 0 && !isEnd) return;
     if (stream.firstEventAtMs === undefined) {
       stream.firstEventAtMs = this.clockMs;
       stream.onFirstEvent();
