Order servers through the lease of the duties

The orders were built against the interface of the duties only. The task gets the lease as its holder, checks a refusal by renewing the lease (one renewal for all orders refused at the same time), and is wired where the platform takes orders. The tracker of eras of the lease is renamed, since two have the same name; settings are compared by value on a reload, since the new ones contain a list.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -57,6 +57,7 @@
   createCountGauge(registry, gauges.getStoreEra, {
     name: 'pollendrum_store_era',
     help: 'Era of the store; it rises when the store returns from a backup. 0 for a store without eras.',
+  });
   createCountGauge(registry, () => (gauges.getDutyToken() === 0 ? 0 : 1), {
     name: 'pollendrum_duty_holder',
     help: 'Whether the instance holds the duties, 1 or 0.',
@@ -122,6 +123,8 @@
     outdatedAnswers: new Counter({
       name: 'pollendrum_outdated_store_answers_total',
       help: 'Answers of the store that were discarded since they name an earlier era.',
+      registers,
+    }),
     usageReports: new Counter({
       name: 'pollendrum_usage_reports_total',
       help: 'Calls that report the usage of a window, by result.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { isDeepStrictEqual } from 'node:util';
 import {
   createRetryBudget,
   FailureTracker,
@@ -18,7 +19,6 @@
 import { CrashObserver } from './crash-observer';
 import { DutyTasks } from './duties/duty-tasks';
 import type { DutyCalls, DutyKind } from './duties/types';
-import type { DutyCalls, DutyHolder, DutyKind } from './duties/types';
 import { recordPrompt } from './gateway-context';
 import type { GatewayContext } from './gateway-context';
 import { FleetExchange } from './fleet-exchange';
@@ -55,7 +55,7 @@
   log: GatewayLog;
   traffic: TrafficMeter;
   /** Calls that one instance makes for the fleet, and those that the platform asks for; undefined if there are none. */
-  duties?: { calls: DutyCalls; kinds: readonly DutyKind[]; holder?: DutyHolder } | undefined;
+  duties?: { calls: DutyCalls; kinds: readonly DutyKind[] } | undefined;
 }
 
 /** Settings that are read at each use, so that a reload takes effect without a restart. */
@@ -226,15 +226,7 @@
     };
     this.duties = this.#createDuties();
     this.trafficLog = new TrafficLog(traffic, log);
-    const { calls, kinds, holder } = options.duties ?? {};
-    if (calls !== undefined && holder !== undefined && kinds?.includes('server-orders')) {
-      this.scalingTask = new ScalingTask({
-        ...{ holder, calls, clock, log, registry, loads, groups, availability },
-        metrics: metrics.scaling,
-        listServices: () => this.routeTable?.bundle.services ?? [],
-        isServerListUsable: () => this.storeWatchers.isServerListUsable(clock()),
-      });
-    }
+    this.scalingTask = this.#createScalingTask({ loads, groups });
     this.callerServer = createCallerServer(this.context);
     this.storeWatchers = new StoreWatchers({
       ...{ store: options.store, decoders: options.decoders, log, clock, registry, eras },
@@ -251,7 +243,6 @@
         this.fleetExchange.setInstances(instances);
         this.announcement.checkAnnounced(instances, missing);
         this.duties?.setInstances(instances);
-        this.#checkAnnouncement(instances);
       },
     });
   }
@@ -303,7 +294,7 @@
     const changed = RELOADABLE_SETTINGS.filter((name) => settings[name] !== current[name]);
     for (const name of changed) Object.assign(current, { [name]: settings[name] });
     const needRestart = (Object.keys(settings) as (keyof GatewaySettings)[]).filter(
-      (name) => settings[name] !== current[name],
+      (name) => !isDeepStrictEqual(settings[name], current[name]),
     );
     this.options.log.info('settings reloaded', { changed, needRestart });
     return changed;
@@ -376,14 +367,20 @@
     return new DutyTasks(options, settings.duties.leaseMs);
   }
 
-  /** Announces the instance again if others have removed it while they could not reach it. */
-  #checkAnnouncement(instances: readonly PeerAddress[]): void {
-    const { log, settings } = this.options;
-    const wasAnnounced = this.isAnnounced;
-    this.isAnnounced = instances.some(({ instanceId }) => instanceId === settings.instanceId);
-    if (!wasAnnounced || this.isAnnounced || this.isDraining) return;
-    log.warn('the announcement of the instance is gone; it is announced again');
-    void this.#announce();
+  /** Creates the task that orders servers if the platform takes orders. */
+  #createScalingTask(known: { loads: LoadTable; groups: InstanceGroups }): ScalingTask | undefined {
+    const { duties, log } = this.options;
+    if (this.duties === undefined || duties?.kinds.includes('server-orders') !== true) {
+      return undefined;
+    }
+    const { clock, registry, availability, metrics } = this.context;
+    return new ScalingTask({
+      ...{ ...known, calls: duties.calls, clock, log, registry, availability },
+      holder: this.duties.lease,
+      metrics: metrics.scaling,
+      listServices: () => this.routeTable?.bundle.services ?? [],
+      isServerListUsable: () => this.storeWatchers.isServerListUsable(clock()),
+    });
   }
 
   /** Judges the readiness for the load balancer and logs when it has changed since the check before. */
--- a/packages/gateway/src/scaling/scaling-task.ts
+++ b/packages/gateway/src/scaling/scaling-task.ts
@@ -17,11 +17,6 @@
   listServices(): readonly Service[];
   /** Whether the list of servers is up to date. */
   isServerListUsable(): boolean;
-  /**
-   * Checks after a refusal whether this instance still holds the duties with this fence. By default it asks the holder, which may
-   * learn of a loss only at its next renewal.
-   */
-  checkFence?(fence: Fence): Promise<boolean>;
 }
 
 /** What is known of one order; the last one of each kind in a failure domain is kept for the log. */
@@ -44,6 +39,7 @@
   private readonly lastOutcomes = new Map<string, string>();
   private timer: NodeJS.Timeout | undefined;
   private token: number | undefined;
+  private verification: Promise<boolean> | undefined;
 
   constructor(private readonly options: ScalingTaskOptions) {}
 
@@ -130,17 +126,15 @@
   /** A refusal means either a higher fencing token or that no such servers are to be had. */
   async #judgeResult(result: DutyCallResult, fence: Fence): Promise<OrderOutcome | 'fenced'> {
     if (result.kind !== 'refused') return result.kind;
-    if (await this.#isHeld(fence)) return 'unavailable';
+    // One renewal answers for all orders that are refused at the same time.
+    this.verification ??= this.options.holder.verifyFence(fence).finally(() => {
+      this.verification = undefined;
+    });
+    if (await this.verification) return 'unavailable';
     this.options.holder.recordRefusal(fence);
     return 'fenced';
   }
 
-  async #isHeld(fence: Fence): Promise<boolean> {
-    const { holder, checkFence } = this.options;
-    if (holder.getFence()?.token !== fence.token) return false;
-    return checkFence === undefined || (await checkFence(fence));
-  }
-
   /** Logs each accepted order, and others when they differ from the order before. */
   #reportOutcome(
     { service, order, reason }: SentOrder,
--- a/packages/gateway/test/scaling-task.test.ts
+++ b/packages/gateway/test/scaling-task.test.ts
@@ -39,11 +39,12 @@
   readonly lines: LogLine[] = [];
   readonly metrics = new Registry();
   judgeOrder: (order: ServerOrder) => DutyCallResult = () => ({ kind: 'accepted' });
-  checkFence: (() => Promise<boolean>) | undefined;
+  verifyFence: (() => Promise<boolean>) | undefined;
   readonly task = new ScalingTask({
     holder: {
       getFence: () => this.fence,
       recordRefusal: (fence) => this.refusals.push(fence),
+      verifyFence: () => this.verifyFence?.() ?? Promise.resolve(true),
       getHolderId: () => this.fence?.owner,
       onChange: () => undefined,
     },
@@ -62,7 +63,6 @@
     metrics: createScalingMetrics(this.metrics),
     listServices: () => this.services,
     isServerListUsable: () => this.isServerListUsable,
-    checkFence: () => this.checkFence?.() ?? Promise.resolve(true),
   });
 
   constructor(serversPerDomain = 3) {
@@ -129,7 +129,7 @@
   {
     name: 'no servers are known',
     prepare: (fixture) => {
-      fixture.registry.replaceAll([], 0, 1);
+      fixture.registry.replaceAll([], 0, { era: 0, revision: 1 });
     },
   },
 ])('nothing is ordered while $name', async ({ prepare }) => {
@@ -159,7 +159,7 @@
 ])('a refusal while $name', async ({ isHeld, refusals, outcome }) => {
   const fixture = new TaskFixture();
   fixture.judgeOrder = () => ({ kind: 'refused' });
-  fixture.checkFence = () => Promise.resolve(isHeld);
+  fixture.verifyFence = () => Promise.resolve(isHeld);
   await fixture.runSeconds(3);
   expect(fixture.refusals).toEqual(refusals);
   expect(fixture.lines.map(({ fields }) => fields['outcome'])).toContain(outcome);
--- a/packages/policy/src/duties/duty-token.ts
+++ b/packages/policy/src/duties/duty-token.ts
@@ -32,7 +32,7 @@
 }
 
 /** Keeps the era of the store over responses without a usable one. */
-export class EraTracker {
+export class LeaseEraTracker {
   private known: number | undefined;
   private hasSeenZero = false;
 
--- a/packages/policy/test/duty-token.test.ts
+++ b/packages/policy/test/duty-token.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { computeNextToken, computeTokenEra, EraTracker, MAX_TOKEN_ERA } from '../src';
+import { computeNextToken, computeTokenEra, LeaseEraTracker, MAX_TOKEN_ERA } from '../src';
 
 describe('next token', () => {
   it.each([
@@ -32,7 +32,7 @@
     ['refuses 0 after a restore of a store that counts from 0', [0, 1, 0], [0, 1, undefined]],
     ['is 0 for a store without eras', [0, 0], [0, 0]],
   ])('%s', (_, seen, expected) => {
-    const eras = new EraTracker();
+    const eras = new LeaseEraTracker();
     expect(seen.map((era) => eras.observe(era))).toEqual(expected);
   });
 });
