Bound the control traffic of usage and confirm a lease after a refusal

With 195 instances the holder received 11.4 kB/s of counts, above the bound of 10 kB/s: each datagram held a UUID or two, and counts of the running window were sent along with the repetition timer of final ones. Starts of processes are now named by 6 random bytes and each receiver has its own interval.

--- a/packages/gateway/src/duties/duty-lease.ts
+++ b/packages/gateway/src/duties/duty-lease.ts
@@ -79,8 +79,10 @@
   async verifyFence(fence: Fence): Promise<boolean> {
     await this.#waitForCall();
     const step = this.isStopped ? undefined : this.term.buildRenewal();
-    if (step !== undefined) await this.#run(step);
-    return this.getFence()?.token === fence.token;
+    if (step === undefined) return false;
+    const startedAtMs = this.options.clock();
+    await this.#run(step);
+    return this.term.hasRenewedSince(startedAtMs) && this.getFence()?.token === fence.token;
   }
 
   getHolderId(): string | undefined {
--- a/packages/gateway/src/duties/usage-codec.ts
+++ b/packages/gateway/src/duties/usage-codec.ts
@@ -37,10 +37,10 @@
       const windows = content.windows.map(({ windowId, isClosed, total, counts }) => [
         ...[windowId, isClosed, total, counts],
       ]);
-      return encodeCbor(['usage-counts', ...head, [content.firstWindowId, windows]]);
+      return encodeCbor(['counts', ...head, [content.firstWindowId, windows]]);
     }
     case 'ack':
-      return encodeCbor(['usage-ack', ...head, [content.ackedIncarnation]]);
+      return encodeCbor(['ack', ...head, [content.ackedIncarnation]]);
   }
 }
 
@@ -59,7 +59,7 @@
   const holder =
     knownHolder === null ? undefined : { ownerId: knownHolder[0], token: knownHolder[1] };
   const head = { instanceId, incarnation, sequence, unixMs, holder };
-  if (kind === 'usage-ack') {
+  if (kind === 'ack') {
     const content = { kind: 'ack', ackedIncarnation: body[0] } as const;
     return { kind: 'datagram', datagram: { ...head, content } };
   }
--- a/packages/gateway/src/duties/usage-receiver.ts
+++ b/packages/gateway/src/duties/usage-receiver.ts
@@ -16,6 +16,7 @@
   private readonly acked = new Map<number, AckedWindow>();
   private readonly inFlight = new Map<number, readonly ToldWindow[]>();
   private unansweredSinceMs: number | undefined;
+  private sentAtMs = -Infinity;
 
   constructor(readonly instanceId: string) {}
 
@@ -40,8 +41,13 @@
     });
   }
 
+  getSentAtMs(): number {
+    return this.sentAtMs;
+  }
+
   recordSent(sequence: number, windows: readonly ToldWindow[], nowMs: number): void {
     this.unansweredSinceMs ??= nowMs;
+    this.sentAtMs = nowMs;
     this.inFlight.set(sequence, windows);
     const [oldest] = this.inFlight.keys();
     if (oldest !== undefined && this.inFlight.size > MAX_IN_FLIGHT) this.inFlight.delete(oldest);
--- a/packages/gateway/src/duties/usage-reporter.ts
+++ b/packages/gateway/src/duties/usage-reporter.ts
@@ -121,7 +121,6 @@
     const firstId = sharing.computeWindowId() - Math.ceil(dueAfterMs / windowMs) - 1;
     const lastId = this.ledger.at(-1)?.windowId;
     this.nextWindowId = Math.max(0, lastId === undefined ? firstId : lastId + 1);
-    this.retryAtMs = -Infinity;
     sharing.notifyInstances();
     log.info('usage is reported by this instance', {
       ...{ token, nextWindowId: this.nextWindowId },
--- a/packages/gateway/src/duties/usage-sharing.ts
+++ b/packages/gateway/src/duties/usage-sharing.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from 'node:crypto';
+import { randomBytes } from 'node:crypto';
 import { hashName, UsageClock, UsageCounts, UsageTable } from '@pollendrum/policy';
 import type { LeaseMoment, ToldWindow, UsageSource } from '@pollendrum/policy';
 import type { Clock, GatewayLog } from '../log-and-clock';
@@ -39,6 +39,10 @@
 const KEEP_OWN_MS = 30_000;
 /** Time for which the counts of all instances are kept, in milliseconds; the store or the platform may be away for minutes. */
 const KEEP_TABLE_MS = 240_000;
+/** A timer can fire this much early, in milliseconds. */
+const TIMER_MARGIN_MS = 2;
+/** Random bytes that identify the start of a process among those of one name; few, as each datagram holds them. */
+const INCARNATION_BYTES = 6;
 /** Instances that a new holder tells of itself at once, and the interval at which it tells further ones, in milliseconds. */
 const TOLD_AT_ONCE = 50;
 const TELL_INTERVAL_MS = 500;
@@ -68,7 +72,8 @@
     this.readOffset = options.readOffset ?? (() => Date.now() - performance.now());
     this.spreadShare = hashName(instanceId) / 2 ** 32;
     const firstWindowId = this.computeWindowId();
-    this.source = { instanceId, incarnation: randomUUID(), firstWindowId };
+    const incarnation = randomBytes(INCARNATION_BYTES).toString('base64url');
+    this.source = { instanceId, incarnation, firstWindowId };
     socket.setHandler('usage', (bytes, sender) => {
       this.#handleMessage(bytes, sender);
     });
@@ -122,7 +127,7 @@
 
   /** Sends what has not been acknowledged, before the instance stops. */
   flush(): void {
-    this.#sendCounts();
+    this.#sendCounts(true);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -196,16 +201,24 @@
     this.#schedule(nowMs + closeMs);
   }
 
-  /** Sends each receiver one datagram with counts that it has not acknowledged. */
-  #sendCounts(): void {
+  /**
+   * Sends each receiver one datagram with counts that it has not acknowledged: final ones at once, others after the interval.
+   *
+   * @param isLast whether there is no later occasion
+   */
+  #sendCounts(isLast = false): void {
     if (this.isStopped) return;
     const nowMs = this.options.clock();
     this.sentAtMs = nowMs;
     const windows = this.#listOwnWindows(this.#computeSpreadMs());
     for (const receiver of this.#chooseReceivers()) {
       const address = this.addresses.get(receiver.instanceId);
-      const part = takeDatagramPart(receiver.listPending(windows));
-      if (address === undefined || part.length === 0) continue;
+      const pending = receiver.listPending(windows);
+      const isDue = nowMs - receiver.getSentAtMs() >= this.#computeIntervalMs() - TIMER_MARGIN_MS;
+      if (address === undefined || !(isLast || isDue || pending.some(({ isClosed }) => isClosed)))
+        continue;
+      const part = takeDatagramPart(pending);
+      if (part.length === 0) continue;
       this.sequence += 1;
       receiver.recordSent(this.sequence, part, nowMs);
       const { firstWindowId } = this;
--- a/packages/gateway/test/duty-lease.test.ts
+++ b/packages/gateway/test/duty-lease.test.ts
@@ -160,6 +160,28 @@
     expect(restarted.token).toBe(2);
   });
 
+  it.each<[string, StoreContact, boolean]>([
+    ['is confirmed to a holder that asks after a refused order', 'answers', true],
+    ['is not confirmed while the store does not answer', 'fails', false],
+  ])('%s', async (_, contact, expected) => {
+    const fence = one.lease.getFence();
+    if (fence === undefined) throw new Error('the lease is not held');
+    one.contact = contact;
+    const verified = one.lease.verifyFence(fence);
+    await advance(50);
+    expect(await verified).toBe(expected);
+    expect(one.token).toBe(fence.token);
+  });
+
+  it('gets another token after a refusal, without another holder', async () => {
+    const fence = one.lease.getFence();
+    if (fence === undefined) throw new Error('the lease is not held');
+    one.lease.recordRefusal(fence);
+    expect(one.token).toBeUndefined();
+    await advance(50);
+    expect(one.token).toBe(2);
+  });
+
   it('is taken with a token of the new era when a backup does not hold it', async () => {
     store.era += 1;
     store.remove('duties', 'platform');
--- a/packages/gateway/test/usage-codec.test.ts
+++ b/packages/gateway/test/usage-codec.test.ts
@@ -39,16 +39,13 @@
 
   it.each<[string, Buffer]>([
     ['bytes that are no CBOR', Buffer.from([0x87, 0xff])],
-    ['another kind', encodeCbor(['usage-other', 'one', 'x', 4, 5, null, ['y']])],
+    ['another kind', encodeCbor(['other', 'one', 'x', 4, 5, null, ['y']])],
     [
       'a negative count',
-      encodeCbor(['usage-counts', 'one', 'x', 4, 5, null, [3, [[7, true, 3, [['a', -3]]]]]]),
+      encodeCbor(['counts', 'one', 'x', 4, 5, null, [3, [[7, true, 3, [['a', -3]]]]]]),
     ],
-    [
-      'a huge window',
-      encodeCbor(['usage-counts', 'one', 'x', 4, 5, null, [3, [[1e300, true, 3, []]]]]),
-    ],
-    ['a time that is a text', encodeCbor(['usage-ack', 'one', 'x', 4, '5', null, ['y']])],
+    ['a huge window', encodeCbor(['counts', 'one', 'x', 4, 5, null, [3, [[1e300, true, 3, []]]]])],
+    ['a time that is a text', encodeCbor(['ack', 'one', 'x', 4, '5', null, ['y']])],
   ])('are refused with %s', (_, bytes) => {
     expect(decodeUsageDatagram(bytes).kind).toBe('invalid');
   });
--- a/packages/gateway/test/usage-fleet.ts
+++ b/packages/gateway/test/usage-fleet.ts
@@ -12,6 +12,7 @@
 export const WINDOW_MS = 5_000;
 export const DUE_AFTER_MS = 10_000;
 const LEASE_MS = 3_000;
+const DATAGRAM_HEADER_BYTES = 28;
 const CALL_MS = 20;
 const CALL_TIMEOUT_MS = 2_500;
 
@@ -67,7 +68,9 @@
   receives = true;
   sends = true;
   reachesApi = true;
+  /** Bytes of datagrams with their headers. */
   sentBytes = 0;
+  receivedBytes = 0;
   stepMs = 0;
   readonly lease: DutyLease;
   readonly sharing: UsageSharing;
@@ -89,12 +92,14 @@
     const socket: Pick<PeerSocket, 'setHandler' | 'send'> = {
       setHandler: (kind, handler) => {
         inner.setHandler(kind, (bytes, sender) => {
-          if (this.receives && this.frozenAtMs === undefined) handler(bytes, sender);
+          if (!this.receives || this.frozenAtMs !== undefined) return;
+          this.receivedBytes += bytes.length + DATAGRAM_HEADER_BYTES;
+          handler(bytes, sender);
         });
       },
       send: (bytes, receivers) => {
         if (!this.sends || this.frozenAtMs !== undefined) return;
-        this.sentBytes += bytes.length * receivers.length;
+        this.sentBytes += (bytes.length + DATAGRAM_HEADER_BYTES) * receivers.length;
         inner.send(bytes, receivers);
       },
     };
--- a/packages/gateway/test/usage-reports.test.ts
+++ b/packages/gateway/test/usage-reports.test.ts
@@ -7,6 +7,7 @@
 /** Time until the first holder is chosen and all windows are counted whole. */
 const START_MS = 12_000;
 const TOLERANCE = 0.05;
+const MAX_CONTROL_BYTES_PER_SECOND = 10_000;
 let fleet: UsageFleet;
 let store: VirtualStore;
 
@@ -60,6 +61,20 @@
     await checkReports(30_000, 0);
   });
 
+  it.each([6, 62, 300])('keep control traffic of %i instances below its bound', async (count) => {
+    await startFleet(count);
+    const before = fleet.instances.map(({ sentBytes, receivedBytes }) => [
+      sentBytes,
+      receivedBytes,
+    ]);
+    await fleet.advance(10_000);
+    const rates = fleet.instances.map(({ sentBytes, receivedBytes }, index) => {
+      const [sent = 0, received = 0] = before[index] ?? [];
+      return Math.max(sentBytes - sent, receivedBytes - received) / 10;
+    });
+    expect(Math.max(...rates)).toBeLessThan(MAX_CONTROL_BYTES_PER_SECOND);
+  });
+
   it('are sent once for a window, with few datagrams and calls', async () => {
     await startFleet(6);
     const { calls } = fleet.api;
--- a/packages/policy/src/duties/lease-term.ts
+++ b/packages/policy/src/duties/lease-term.ts
@@ -115,6 +115,11 @@
     return this.hold?.record ?? this.sighting?.record;
   }
 
+  /** Whether this instance holds the lease by a write that was sent at this time or later. */
+  hasRenewedSince(nowMs: number): boolean {
+    return this.hold !== undefined && this.hold.renewedAt.nowMs >= nowMs;
+  }
+
   /** Whether this instance holds the lease and records of an earlier holder may be lost with a backup. */
   hasLostRecords(): boolean {
     return this.hold?.mayLackRecords === true;
