--- a/packages/gateway/test/scaling-task.test.ts
+++ b/packages/gateway/test/scaling-task.test.ts
@@ -6,7 +6,14 @@
 import { ScalingTask } from '../src/scaling/scaling-task';
 import { observeService } from '../src/scaling/service-observer';
 import { ServerRegistry } from '../src/server-registry';
-import { createTestLog, makeServer } from './gateway-fixture';
+import {
+  createTestLog,
+  makeBundle,
+  makeServer,
+  sendRequest,
+  startTestGateway,
+  waitUntil,
+} from './gateway-fixture';
 import type { LogLine } from './gateway-fixture';
 
 const SERVICE: Service = {
@@ -244,3 +251,31 @@
   const observation = observeService({ registry, loads, groups, availability }, 'engines', 0);
   expect([...(observation?.fleet.keys() ?? [])]).toEqual(['b', 'c', 'd']);
 });
+
+// Guards against a task that a gateway does not start, or starts although the platform asks for no orders.
+test.each([
+  { name: 'sends orders', kinds: ['server-orders'] as const, orderCount: 1 },
+  { name: 'sends no orders', kinds: ['usage-reports'] as const, orderCount: 0 },
+])('a gateway that holds duties of kind $kinds $name', async ({ kinds, orderCount }) => {
+  const scaling = SERVICE.scaling && { ...SERVICE.scaling, minServers: 2 };
+  const orders: ServerOrder[] = [];
+  const accept = (): Promise<DutyCallResult> => Promise.resolve({ kind: 'accepted' });
+  const orderServers = (_: Fence, order: ServerOrder) => {
+    orders.push(order);
+    return accept();
+  };
+  const calls = { orderServers, reportUsage: accept };
+  await using running = await startTestGateway({
+    bundle: makeBundle({ services: [{ ...SERVICE, scaling }] }),
+    servers: [makeServer('one', 'engines', 1)],
+    duties: {
+      ...{ calls, kinds },
+      settings: { address: '127.0.0.1:1', names: [], callsPerSecond: 10, leaseMs: 300 },
+    },
+  });
+  if (orderCount > 0) await waitUntil(() => orders.length > 0);
+  else await new Promise((resolve) => setTimeout(resolve, 4_500));
+  expect(orders).toHaveLength(orderCount);
+  const { body } = await sendRequest(running.metricsPort, '/', { method: 'GET' });
+  expect(body.includes('pollendrum_servers_present{service="engines"')).toBe(orderCount > 0);
+});
--- a/packages/policy/test/scaling/fleet-plan.test.ts
+++ b/packages/policy/test/scaling/fleet-plan.test.ts
@@ -26,11 +26,11 @@
     ...{ domains: makeDomains([1, 1, 1, 1], [0, 15, 15, 15]), plan: '0+0 15+0 15+0 15+0' },
   },
   {
-    name: 'a large MinCount',
+    name: 'a large minimum',
     ...{ domains: makeDomains([1, 1]), need: { minServers: 40 }, plan: '40+0 40+0' },
   },
   {
-    name: 'a small MaxCount',
+    name: 'a small maximum',
     ...{ domains: makeDomains([1, 1]), need: { maxServers: 16 }, plan: '2+14 2+14' },
   },
 ])('the cheapest plan with $name', ({ domains, need, plan }) => {
--- a/packages/policy/test/scaling/load-patterns.test.ts
+++ b/packages/policy/test/scaling/load-patterns.test.ts
@@ -67,25 +67,25 @@
     },
   },
   {
-    name: 'MinCount equal to MaxCount',
+    name: 'a minimum equal to the maximum',
     ...{ bounds: { ...BOUNDS, minServers: 10, maxServers: 10 }, slack: 2, price: 1, late: 0 },
   },
   {
-    name: 'little room below MaxCount',
+    name: 'little room below the maximum',
     ...{ bounds: { ...BOUNDS, minServers: 2, maxServers: 12 }, slack: 1.9, price: 0.6, late: 8 },
   },
   {
-    name: 'a reclaim with little room below MaxCount, none anywhere',
+    name: 'a reclaim with little room below the maximum, none anywhere',
     bounds: { ...BOUNDS, minServers: 2, maxServers: 12 },
     ...{ reclaim: { ...makeReclaim(ALL_DOMAINS), atMs: 55_000 }, slack: 1.6, price: 0.6, late: 20 },
   },
   {
-    name: 'MaxCount below the present number',
+    name: 'a maximum below the present number',
     ...{ bounds: { ...BOUNDS, minServers: 1, maxServers: 6 }, slack: 1.6, price: 0.4, late: 2 },
     computeDemand: makeWave(6),
   },
   {
-    name: 'MinCount above the present number',
+    name: 'a minimum above the present number',
     ...{ bounds: { ...BOUNDS, minServers: 12, maxServers: 16 }, slack: 2, price: 0.4, late: 0 },
     computeDemand: makeWave(6),
   },
@@ -121,7 +121,7 @@
 });
 
 // Guards against places that are kept for preemptible servers while none are to be had.
-test('on-demand servers make up for a reclaimed domain although MaxCount is reached', () => {
+test('on-demand servers make up for a reclaimed domain although the maximum is reached', () => {
   const steps = simulateFleet({
     ...{ ...BASE, bounds: { ...BOUNDS, minServers: 2, maxServers: 12 } },
     reclaim: { ...makeReclaim(ALL_DOMAINS), atMs: 55_000 },
