Measure the cost of a placement by the number of servers

Cause: an instance has 0.24 of a core, and a placement must cost no more with ten times as many servers.

Change: the bench of decision costs places a plan on one of 10, 98 and 980 servers, with 38 peers and four servers that have a part of the prompt cached, by visiting all servers as before and by a sample.

--- a/packages/policy/test/decision-cost.bench.ts
+++ b/packages/policy/test/decision-cost.bench.ts
@@ -1,5 +1,17 @@
 import { bench, describe } from 'vitest';
-import { chooseOwner, type Scheduler } from '../src/index';
+import {
+  chooseOwner,
+  DEFAULT_ENGINE_PROFILE,
+  LoadTable,
+  NO_PLACED_LOAD,
+  PrefixCacheTracker,
+  PromptLengthPartition,
+  SpeedTracker,
+  type Scheduler,
+} from '../src/index';
+import type { Chooser } from './placement/fleet-simulation';
+import { PLAN } from './placement/placement-fixture';
+import { makeLowestCost, makeSampledLevel } from './placement/placement-ways';
 import { createTestScheduler, makeClass, makeRequest, makeServer } from './fixtures';
 
 const WAITING = 10_000;
@@ -58,3 +70,40 @@
     for (const key of keys) chooseOwner(key, instances);
   });
 });
+
+const PEERS = 38;
+
+/** An instance whose peers have reported load at all servers, 4 of which have a shared part of the plan cached. */
+function makeChooser(servers: number): Chooser {
+  const serverIds = Array.from({ length: servers }, (_, index) => `server-${index}`);
+  const partition = new PromptLengthPartition();
+  const [loads, prefixes, speeds] = [new LoadTable(), new PrefixCacheTracker(), new SpeedTracker()];
+  const load = { ...NO_PLACED_LOAD, waiting: 1, streaming: 1, longShare: 0.01, dueInMs: 50 };
+  for (let peer = 0; peer < PEERS; peer += 1) {
+    const reported = serverIds.filter((_, index) => index % PEERS === peer % servers);
+    loads.mergePeerReport(`peer-${peer}`, new Map(reported.map((id) => [id, load])), 0);
+  }
+  for (const id of serverIds) speeds.recordPause(id, 21, 0);
+  const kvCache = { kvTokens: DEFAULT_ENGINE_PROFILE.kvTokens, heldTokens: 0 };
+  for (const id of serverIds.slice(0, 4)) prefixes.record(id, PLAN.parts.slice(0, -1), kvCache, 0);
+  return {
+    ...{ id: 'entry-0', loads, prefixes, speeds, partition, serverIds, peerFactor: 1 },
+    options: {
+      ...{ partition, profile: DEFAULT_ENGINE_PROFILE },
+      ...{ firstEventOverheadMs: 0, tightestPauseTargetMs: 200 },
+    },
+  };
+}
+
+describe.each([10, 98, 980])('a stream is placed on one of %i servers', (servers) => {
+  const chooser = makeChooser(servers);
+  const chooseLowest = makeLowestCost();
+  const chooseSampled = makeSampledLevel();
+
+  bench('all servers', () => {
+    chooseLowest(chooser, PLAN, 500, Math.random);
+  });
+  bench('a sample', () => {
+    chooseSampled(chooser, PLAN, 500, Math.random);
+  });
+});
