Start the server orders in a gateway test through the lease itself

It now waits for the lease of the gateway under test, longer than the time after which the first order is sent.

--- a/packages/gateway/test/fake-store.ts
+++ b/packages/gateway/test/fake-store.ts
@@ -30,11 +30,12 @@
     return { objects: [...(this.objects.get(kind)?.values() ?? [])], revision, era };
   }
 
-  async watchObjects(kind: string, afterRevision: number, waitMs: number) {
+  async watchObjects(kind: string, afterRevision: number, waitMs: number, signal?: AbortSignal) {
     const untilMs = performance.now() + waitMs;
     this.watchedKinds.push(kind);
     for (;;) {
       await this.#waitForResponse();
+      signal?.throwIfAborted();
       if (this.mode === 'history-lost') {
         this.mode = 'up';
         return { kind: 'history-lost' as const, era: this.era };
--- a/packages/gateway/test/scaling-task.test.ts
+++ b/packages/gateway/test/scaling-task.test.ts
@@ -274,7 +274,7 @@
     },
   });
   if (orderCount > 0) await waitUntil(() => orders.length > 0);
-  else await new Promise((resolve) => setTimeout(resolve, 4_500));
+  else await new Promise((resolve) => setTimeout(resolve, 6_000));
   expect(orders).toHaveLength(orderCount);
   const { body } = await sendRequest(running.metricsPort, '/', { method: 'GET' });
   expect(body.includes('pollendrum_servers_present{service="engines"')).toBe(orderCount > 0);
