Keep the calls of a fleet low after the store returns from a backup

Followers read the store themselves when the return had made objects look outdated. They now wait 400 to 800 ms for what the readers find, ask the instance that tells recent news, and do not take differing ages for lost calls while entries are written again.

--- a/packages/gateway/src/change-log.ts
+++ b/packages/gateway/src/change-log.ts
@@ -91,7 +91,7 @@
     if (end.era === start.era) return;
     this.crossings.push({ end, start });
     const oldest = this.crossings.length > MAX_CROSSINGS ? this.crossings.shift() : undefined;
-    if (oldest !== undefined) this.#raiseStart(oldest.start);
+    if (oldest !== undefined) this.#discardBefore(oldest.start);
   }
 
   /**
@@ -113,7 +113,7 @@
       const oldest = this.changes.shift();
       if (oldest === undefined) break;
       this.keptBytes -= oldest.bytes;
-      this.#raiseStart(oldest.shared.position);
+      this.#discardBefore(oldest.shared.position);
     }
   }
 
@@ -175,7 +175,7 @@
       .filter(({ position }) => isAfter(position, from) && !(to && isAfter(position, to)));
   }
 
-  #raiseStart(position: StorePosition): void {
+  #discardBefore(position: StorePosition): void {
     if (this.start === undefined || isAfter(position, this.start)) this.start = position;
     // Steps from before the start are not asked for.
     this.crossings = this.crossings.filter(({ start }) => isAfter(start, position));
--- a/packages/gateway/src/fleet-exchange.ts
+++ b/packages/gateway/src/fleet-exchange.ts
@@ -98,7 +98,7 @@
       },
     });
     this.archive = new QuarantineArchive({ store, quarantine: this.quarantine, clock, log });
-    eras.onRaise(() => {
+    eras.addListener(() => {
       this.archive.handleNewEra();
     });
     const getServer = (serverId: string) => registry.get(serverId);
--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -47,6 +47,8 @@
  * these writes would end the watches of all readers.
  */
 const SETTLING_INTERVAL_MS = 500;
+/** Shortest interval to a call that another watcher has asked for, so that objects do not count as outdated for others. */
+const SETTLING_REFRESH_INTERVAL_MS = 200;
 /** Time after a new era in which the operator and the servers write again what the backup lacks, in milliseconds. */
 const SETTLING_MS = 5_000;
 
@@ -104,6 +106,8 @@
   checkSuspension?(): void;
   /** Time for which a call is put off that is made since others do not keep the objects up to date; 0 by default. */
   computeReadDelayMs?(): number;
+  /** Time for which any call is put off since others read a new era of the store; 0 by default. */
+  computeNewEraDelayMs?(): number;
   /**
    * Longest time from the start of a failed call to the next one that the backoff adds to, in milliseconds.
    * @default 400
@@ -160,7 +164,7 @@
   constructor(private readonly options: KindWatcherOptions) {
     const { clock, log } = options;
     this.eras = options.eras ?? new StoreEraWatch({ clock, log });
-    this.eras.onRaise(() => {
+    this.eras.addListener(() => {
       this.#handleNewEra();
     });
   }
@@ -318,8 +322,10 @@
 
   /** Puts off a call; returns whether it is still to be made. */
   async #waitForTurn(signal: AbortSignal): Promise<boolean> {
-    if (this.mustRead || this.isRefreshing) return true;
-    const delayMs = this.options.computeReadDelayMs?.() ?? 0;
+    const { computeNewEraDelayMs, computeReadDelayMs } = this.options;
+    const isUrgent = this.mustRead || this.isRefreshing;
+    const readDelayMs = isUrgent ? 0 : (computeReadDelayMs?.() ?? 0);
+    const delayMs = Math.max(computeNewEraDelayMs?.() ?? 0, readDelayMs);
     if (delayMs === 0) return true;
     this.isWaitingForTurn = true;
     await sleep(delayMs, undefined, { signal }).catch(() => undefined);
@@ -477,7 +483,8 @@
   /** Lets the writes of a moment be collected while many objects are written again. */
   async #waitWhileSettling(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
-    const waitMs = this.watchedAtMs + SETTLING_INTERVAL_MS - clock();
+    const intervalMs = this.isRefreshing ? SETTLING_REFRESH_INTERVAL_MS : SETTLING_INTERVAL_MS;
+    const waitMs = this.watchedAtMs + intervalMs - clock();
     if (waitMs > 0 && this.eras.getSinceNewEraMs(clock()) < SETTLING_MS) {
       await sleep(waitMs, undefined, { signal }).catch(() => undefined);
       this.callStartedAtMs = clock();
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -139,7 +139,7 @@
     }
     // The start that was listed here may have had more heartbeats than the sender knew.
     const start = listed ?? removal.start;
-    this.#keepRemoval({ serverId, position, isTold: true, start: start && selectStart(start) });
+    this.#recordRemoval({ serverId, position, isTold: true, start: start && selectStart(start) });
   }
 
   /** Replaces all servers with a complete listing as of a moment of the store. */
@@ -190,12 +190,12 @@
     this.positions.delete(serverId);
     this.#recordChange();
     if (position !== undefined) {
-      this.#keepRemoval({ serverId, position, isTold: false, start: selectStart(server) });
+      this.#recordRemoval({ serverId, position, isTold: false, start: selectStart(server) });
     }
     this.onChange({ kind: 'removed', server, position });
   }
 
-  #keepRemoval(removal: KeptRemoval): void {
+  #recordRemoval(removal: KeptRemoval): void {
     this.removals.delete(removal.serverId);
     this.removals.set(removal.serverId, removal);
     const [oldest] = this.removals.keys();
--- a/packages/gateway/src/store-era-watch.ts
+++ b/packages/gateway/src/store-era-watch.ts
@@ -35,7 +35,7 @@
   }
 
   /** Calls the listener at each change of the era but the first one, which the instance finds at its start. */
-  onRaise(listener: (era: StoreEra) => void): void {
+  addListener(listener: (era: StoreEra) => void): void {
     this.listeners.push(listener);
   }
 
--- a/packages/gateway/src/store-message-codec.ts
+++ b/packages/gateway/src/store-message-codec.ts
@@ -164,7 +164,7 @@
 /** Splits changes so that those of one moment stay together or are numbered; undefined if one does not fit into a message. */
 function splitChanges(changes: readonly SharedChange[]): ChangesPart[] | undefined {
   const parts: ChangesPart[] = [{ changes: [], part: undefined }];
-  for (const moment of groupByPosition(changes)) {
+  for (const moment of splitByPosition(changes)) {
     const last = parts.at(-1);
     if (
       last?.part === undefined &&
@@ -198,7 +198,7 @@
   return pieces;
 }
 
-function groupByPosition(changes: readonly SharedChange[]): SharedChange[][] {
+function splitByPosition(changes: readonly SharedChange[]): SharedChange[][] {
   const groups: SharedChange[][] = [];
   for (const change of changes) {
     const last = groups.at(-1);
--- a/packages/gateway/src/store-news.ts
+++ b/packages/gateway/src/store-news.ts
@@ -1,30 +1,20 @@
 import { ReaderContact } from '@pollendrum/policy';
-import type { ChangeStep } from './change-log';
-import type { NewsResult } from './kind-watcher';
 import type { Clock, GatewayLog } from './log-and-clock';
 import type { StoreEra } from './object-store';
 import type { PeerAddress, PeerSocket, SenderAddress } from './peer-socket';
+import {
+  getAge,
+  isRecentNews,
+  listKindNews,
+  makePositionCheck,
+  MAX_RECENT_AGE_MS,
+} from './shared-kind';
+import type { Follower, SharedKind } from './shared-kind';
 import { StoreNewsParts } from './store-news-parts';
 import { decodeStoreMessage, encodeStoreMessage, splitNews } from './store-message-codec';
 import type { KindNews, KindPosition, StoreMessageContent } from './store-message-codec';
-import { selectLater } from './store-position';
 import type { StorePosition } from './store-position';
 
-/** What is shared of the objects of one kind. */
-export interface SharedKind {
-  kind: string;
-  /** Age of the objects from which the instance reads them from the store itself, in milliseconds. */
-  maxAgeMs: number;
-  watcher: {
-    getPosition(): StorePosition | undefined;
-    getAgeMs(nowMs: number): number;
-    listChangesSince(position: StorePosition): readonly ChangeStep[] | undefined;
-    applyNews(news: KindNews, syncedAtMs: number | undefined): NewsResult;
-    checkFollowing(): void;
-    readNow(): void;
-  };
-}
-
 export interface StoreNewsOptions {
   instanceId: string;
   socket: Pick<PeerSocket, 'setHandler' | 'send'>;
@@ -53,8 +43,6 @@
 const MAX_ATTEMPTS = 3;
 /** Instances that are asked at the same time when the first one has not answered. */
 const RETRY_FANOUT = 3;
-/** Age up to which the objects of an instance are recent, in milliseconds. A reader's watches end within less. */
-const MAX_RECENT_AGE_MS = 800;
 /** Age of the objects from which neither the others nor the store can have answered, in milliseconds. */
 const OUTAGE_AGE_MS = 2_200;
 /** Time after an outdated answer for which the readers count as without contact with the store, in milliseconds. */
@@ -84,14 +72,6 @@
   isAnswered: boolean;
 }
 
-/** An instance that asks this one. */
-interface Follower {
-  sender: SenderAddress;
-  askedAtMs: number;
-  /** Moment up to which it knows or has been told the changes, by kind. */
-  positions: Map<string, StorePosition>;
-}
-
 /**
  * Shares what is read from the store, so that the number of calls does not grow with the fleet: a few instances read it, the
  * others ask them. Knowledge is as recent as the moment of the store that it comes from: an instance counts its age from the time
@@ -162,12 +142,8 @@
    * only with the first kind.
    */
   computeReadDelayMs(kind: string): number {
-    const nowMs = this.options.clock();
-    const sinceNewEraMs = this.options.getSinceNewEraMs?.(nowMs) ?? Infinity;
-    if (sinceNewEraMs < NEW_ERA_WAIT_MS && !this.contact.isReader(nowMs)) {
-      return NEW_ERA_WAIT_MS - sinceNewEraMs + Math.random() * NEW_ERA_WAIT_MS;
-    }
     if (!this.isInOutage()) return 0;
+    const nowMs = this.options.clock();
     const [first] = this.kinds;
     if (first === undefined || first.kind === kind) {
       return this.contact.computeProbeDelayMs(Math.random());
@@ -175,6 +151,14 @@
     return first.watcher.getAgeMs(nowMs) <= first.maxAgeMs ? 0 : MAX_READ_DELAY_MS;
   }
 
+  /** Computes for how long this instance waits for what the readers find in a new era of the store, in milliseconds. */
+  computeNewEraDelayMs(): number {
+    const nowMs = this.options.clock();
+    const sinceNewEraMs = this.options.getSinceNewEraMs?.(nowMs) ?? Infinity;
+    if (sinceNewEraMs >= NEW_ERA_WAIT_MS || this.contact.isReader(nowMs)) return 0;
+    return NEW_ERA_WAIT_MS - sinceNewEraMs + Math.random() * NEW_ERA_WAIT_MS;
+  }
+
   /** Whether this instance asks others and these answer that they have no contact with the store. */
   isInOutage(): boolean {
     const nowMs = this.options.clock();
@@ -397,7 +381,8 @@
    * one before, whose answer would lead to the next question.
    */
   #handleContact(instanceId: string, nowMs: number): void {
-    if (!this.isInOutage()) return;
+    const isOutdated = this.#isSettling(nowMs) && !this.#isRecent(nowMs);
+    if (!this.isInOutage() && !isOutdated) return;
     this.contact.recordAnswer(instanceId, 'recent', nowMs);
     if (nowMs - this.requestedAtMs < MIN_TELL_INTERVAL_MS) return;
     this.requestedAtMs = nowMs;
@@ -422,7 +407,7 @@
       case 'not-listed':
         break;
       case 'unavailable':
-        this.#scheduleReading(shared);
+        this.#scheduleReading(shared, makePositionCheck(shared));
         break;
       case 'outdated':
         return Number.isFinite(shared.maxAgeMs) ? Infinity : undefined;
@@ -442,18 +427,16 @@
   }
 
   /** Lets the objects be read from the store, a little later while many instances may have to. */
-  #scheduleReading({ kind, watcher }: SharedKind): void {
-    const sinceNewEraMs = this.options.getSinceNewEraMs?.(this.options.clock()) ?? Infinity;
-    if (sinceNewEraMs > SETTLING_MS) {
+  #scheduleReading({ kind, watcher }: SharedKind, isNeeded: () => boolean): void {
+    if (!this.#isSettling(this.options.clock())) {
       watcher.readNow();
       return;
     }
     if (this.readTimers.has(kind) || this.isDisposed) return;
-    const position = watcher.getPosition();
     const delayMs = Math.random() * MAX_SETTLING_DELAY_MS;
     const timer = setTimeout(() => {
       this.readTimers.delete(kind);
-      if (watcher.getPosition() === position) watcher.readNow();
+      if (isNeeded()) watcher.readNow();
     }, delayMs);
     this.readTimers.set(kind, timer);
   }
@@ -489,9 +472,15 @@
     const dated = this.kinds.filter(({ maxAgeMs }) => Number.isFinite(maxAgeMs));
     const lost = dated.filter(({ watcher }) => watcher.getAgeMs(nowMs) > MAX_RECENT_AGE_MS);
     if (lost.length === dated.length) return;
+    // While many objects are written again, the ages of the kinds differ although no calls are lost.
+    if (this.#isSettling(nowMs)) return;
     for (const { watcher } of lost) watcher.readNow();
   }
 
+  #isSettling(nowMs: number): boolean {
+    return (this.options.getSinceNewEraMs?.(nowMs) ?? Infinity) <= SETTLING_MS;
+  }
+
   /** Whether the objects have been kept up to date and are not any more. */
   #isOverdue(nowMs: number): boolean {
     return this.kinds.some(({ maxAgeMs, watcher }) => {
@@ -511,37 +500,3 @@
     this.options.socket.send(encodeStoreMessage(message), receivers);
   }
 }
-
-/** Age of the objects of a kind in milliseconds; undefined if they are not known to be complete. */
-function getAge(watcher: SharedKind['watcher'], nowMs: number): number | undefined {
-  const ageMs = watcher.getAgeMs(nowMs);
-  return Number.isFinite(ageMs) ? ageMs : undefined;
-}
-
-/** Whether news says that the objects of its sender are recent. */
-function isRecentNews(ages: readonly (number | undefined)[]): boolean {
-  const known = ages.filter((ageMs) => ageMs !== undefined);
-  return known.length > 0 && known.every((ageMs) => ageMs <= MAX_RECENT_AGE_MS);
-}
-
-/** Makes the news of a kind for an instance, and records what that has been told. */
-function listKindNews(
-  { kind, watcher }: SharedKind,
-  { positions }: Follower,
-  nowMs: number,
-  onlyChanges: boolean,
-): KindNews[] {
-  const from = positions.get(kind);
-  const to = watcher.getPosition();
-  if (from === undefined || to === undefined) return [];
-  const steps = watcher.listChangesSince(from);
-  const hasChanges = steps?.some((step) => step.changes.length > 0) ?? true;
-  if (onlyChanges && !hasChanges && from.era === to.era) return [];
-  positions.set(kind, selectLater(from, to));
-  if (steps === undefined) return [{ kind, from, to, ageMs: undefined, changes: undefined }];
-  return steps.map((step, index) => ({
-    ...{ kind, from: step.from, to: step.to ?? to },
-    ageMs: index === steps.length - 1 ? getAge(watcher, nowMs) : undefined,
-    changes: step.changes,
-  }));
-}
--- a/packages/gateway/src/store-watchers.ts
+++ b/packages/gateway/src/store-watchers.ts
@@ -99,7 +99,7 @@
     this.instances = new InstanceDirectory(clock, () => {
       this.#reportInstances();
     });
-    eras.onRaise(() => {
+    eras.addListener(() => {
       this.eraBundles.handleNewEra(clock());
       this.instances.handleNewEra();
       // The backup lacks entries of servers that write them again.
@@ -293,6 +293,7 @@
         news.reportChanges();
       },
       computeReadDelayMs: () => news.computeReadDelayMs(kind),
+      computeNewEraDelayMs: () => news.computeNewEraDelayMs(),
       getMaxRetryIntervalMs: () => {
         if (kind === INSTANCE_KIND) return INSTANCE_RETRY_INTERVAL_MS;
         return news.isReader() ? READER_RETRY_INTERVAL_MS : FOLLOWER_RETRY_INTERVAL_MS;
--- a/packages/policy/src/readers/era-tracker.ts
+++ b/packages/policy/src/readers/era-tracker.ts
@@ -41,7 +41,7 @@
     if (!Number.isSafeInteger(era) || era <= this.era || era > MAX_ERA) return false;
     this.era = era;
     this.knownAtMs = nowMs;
-    this.#forgetLower();
+    this.#resetLower();
     return true;
   }
 
@@ -49,7 +49,7 @@
     if (this.observeEra(era, answeredAtMs)) return 'raised';
     // An era that is not valid says nothing.
     if (era === this.era || !Number.isSafeInteger(era) || era < 0 || era > MAX_ERA) {
-      if (era === this.era) this.#forgetLower();
+      if (era === this.era) this.#resetLower();
       return 'current';
     }
     // The call may have been answered before the store returned.
@@ -60,7 +60,7 @@
     return isLong && this.lowerCount >= MIN_DISREGARDED_ANSWERS ? 'current' : 'outdated';
   }
 
-  #forgetLower(): void {
+  #resetLower(): void {
     this.lowerSinceMs = Infinity;
     this.lowerCount = 0;
   }
