Take a missing era for the known one in the lease

The name EraTracker is also used by the watchers of the branch eras, and a first response without the header made later missing ones count as outdated, so that the lease could not be renewed. An instance calls the lease once at a time, so that era 0 after a higher one can only be a missing header.

--- a/packages/gateway/test/usage-reports.test.ts
+++ b/packages/gateway/test/usage-reports.test.ts
@@ -135,6 +135,7 @@
       await startFleet(6);
       fleet.api.mode = mode;
       const recorded = await endHolderWithItsCounts();
+      expect(recorded.some(({ isAccepted }) => !isAccepted)).toBe(true);
       fleet.api.mode = 'up';
       await fleet.advance(10_000);
       await checkReports(30_000);
--- a/packages/policy/src/duties/duty-token.ts
+++ b/packages/policy/src/duties/duty-token.ts
@@ -31,13 +31,12 @@
   return Math.floor(token / TOKENS_PER_ERA);
 }
 
-/** Keeps the era of the store over responses without a usable one. */
-export class LeaseEraTracker {
-  private known: number | undefined;
-  private hasSeenZero = false;
+/** Keeps the era of the store over responses without a usable one. The calls are made one after another. */
+export class LeaseEras {
+  private known = 0;
 
   getEra(): number {
-    return this.known ?? 0;
+    return this.known;
   }
 
   /**
@@ -46,11 +45,10 @@
    * @returns the era in which the response is valid; undefined if it dates from before a restore
    */
   observe(seen: number): number | undefined {
-    if (seen === 0 && (this.known === undefined || this.known === 0)) this.hasSeenZero = true;
-    // The store numbers its eras from 1 or has none: 0 later on is a missing header unless it was the era before.
-    const isUnusable = seen > MAX_TOKEN_ERA || (seen === 0 && !this.hasSeenZero);
-    const era = isUnusable ? this.getEra() : seen;
-    if (era < this.getEra()) return undefined;
+    // 0 is a missing header once the store has named an era: no call is under way whose response could be older.
+    const isUnusable = seen > MAX_TOKEN_ERA || seen === 0;
+    const era = isUnusable ? this.known : seen;
+    if (era < this.known) return undefined;
     this.known = era;
     return era;
   }
--- a/packages/policy/src/duties/lease-term.ts
+++ b/packages/policy/src/duties/lease-term.ts
@@ -1,4 +1,4 @@
-import { computeNextToken, computeTokenEra, LeaseEraTracker } from './duty-token';
+import { computeNextToken, computeTokenEra, LeaseEras } from './duty-token';
 
 /** What the store keeps of the lease. */
 export interface LeaseRecord {
@@ -85,7 +85,7 @@
  * step of the time of day against it makes the holder stop until it has renewed the lease.
  */
 export class LeaseTerm {
-  private readonly eras = new LeaseEraTracker();
+  private readonly eras = new LeaseEras();
   private sighting: Sighting | undefined;
   private hold: Hold | undefined;
   private highestToken = 0;
