Count servers as gone from the order that gives them back

Servers in an order that may have taken effect now count as gone.

At most a quarter of the servers is given back in a second, so that the prompts whose cached prefixes go with them are not all read again at once; at the start, when preemptible servers replace the others, all went in one second.

packages/policy/test/scaling (40, now with the late observation) and scaling-task.test.ts (17) pass.

--- a/packages/policy/src/scaling/desired-servers.ts
+++ b/packages/policy/src/scaling/desired-servers.ts
@@ -4,6 +4,11 @@
 
 /** Servers are given back only if the plan costs less than this share of the current orders, so that orders do not swing. */
 const MAX_KEPT_PRICE_SHARE = 0.9;
+/**
+ * Largest share of the servers that is given back in one step of a second, so that prompts whose cached prefixes are lost
+ * with them are not all read again at the same time.
+ */
+const MAX_REMOVED_SHARE = 0.25;
 
 /** What the orders of a service are to become, and what they are now. */
 export interface DesiredContext {
@@ -79,9 +84,9 @@
   const price = raised.reduce((sum, order) => sum + order.count * priceOf(order), 0);
   if (plan.price > price * MAX_KEPT_PRICE_SHARE) return [...raised];
   const lowered = raised.map((order) => ({ ...order }));
-  const present = new PresentServers(context.book);
+  const staying = new StayingServers(context.book);
   for (const order of [...lowered].sort((one, other) => priceOf(other) - priceOf(one))) {
-    withdrawServers(order, lowered, present, context);
+    withdrawServers(order, lowered, staying, context);
   }
   return lowered;
 }
@@ -89,7 +94,7 @@
 function withdrawServers(
   order: DesiredServers,
   all: readonly DesiredServers[],
-  present: PresentServers,
+  staying: StayingServers,
   context: DesiredContext,
 ): void {
   const { need, book } = context;
@@ -105,11 +110,11 @@
     kind === 'on-demand' && preemptibleTarget + order.count > need.maxServers;
   while (order.count > target && countInDomain() > need.minServers) {
     // Servers that have not appeared yet can be given back without harm.
-    const isPresent = book.countPresent(failureDomain, kind) >= order.count;
+    const isPresent = book.countStaying(failureDomain, kind) >= order.count;
     if (isPresent) {
       const required = { ...need, total: isBlocking() ? 0 : need.total };
-      if (!present.isCoveredWithout(failureDomain, kind, required)) return;
-      present.remove(failureDomain, kind);
+      if (!staying.isCoveredWithout(failureDomain, kind, required)) return;
+      staying.remove(failureDomain, kind);
     }
     order.count -= 1;
   }
@@ -122,17 +127,20 @@
   return counts.get(failureDomain)?.[kind] ?? 0;
 }
 
-/** Servers that take requests now, less those that are given back. */
-class PresentServers {
+/** Servers that take requests now and stay, less those that are given back in this step. */
+class StayingServers {
   private total = 0;
+  /** Servers that may still be given back in this step. */
+  private removable: number;
   private readonly preemptible = new Map<string, number>();
 
   constructor(book: OrderBook) {
     for (const failureDomain of book.listDomains()) {
-      const preemptible = book.countPresent(failureDomain, 'preemptible');
+      const preemptible = book.countStaying(failureDomain, 'preemptible');
       this.preemptible.set(failureDomain, preemptible);
-      this.total += preemptible + book.countPresent(failureDomain, 'on-demand');
+      this.total += preemptible + book.countStaying(failureDomain, 'on-demand');
     }
+    this.removable = Math.ceil(this.total * MAX_REMOVED_SHARE);
   }
 
   /** Whether the need is still covered with one server less. */
@@ -141,6 +149,7 @@
     kind: ServerKind,
     need: Pick<PlanNeed, 'total' | 'afterReclaim'>,
   ): boolean {
+    if (this.removable === 0) return false;
     const losses = [...this.preemptible].map(([domain, count]) =>
       domain === failureDomain && kind === 'preemptible' ? count - 1 : count,
     );
@@ -150,6 +159,7 @@
 
   remove(failureDomain: string, kind: ServerKind): void {
     this.total -= 1;
+    this.removable -= 1;
     if (kind === 'on-demand') return;
     this.preemptible.set(failureDomain, (this.preemptible.get(failureDomain) ?? 0) - 1);
   }
--- a/packages/policy/src/scaling/order-book.ts
+++ b/packages/policy/src/scaling/order-book.ts
@@ -25,6 +25,8 @@
   /** Largest number of servers that were present before the first accepted order. */
   baseline: number;
   accepted: { count: number; atMs: number } | undefined;
+  /** Servers in the last order that may have taken effect; undefined if it certainly has not. */
+  effectiveCount: number | undefined;
   /** Whether servers were lost since the last accepted order, so that it is repeated. */
   hasLosses: boolean;
   /** Time until which a refusal by the platform holds. */
@@ -68,6 +70,14 @@
     return this.subjects.get(makeKey(failureDomain, kind))?.present ?? 0;
   }
 
+  /** Servers that are present and stay: those that an order gives back take requests for some time longer. */
+  countStaying(failureDomain: string, kind: ServerKind): number {
+    const subject = this.subjects.get(makeKey(failureDomain, kind));
+    if (subject === undefined) return 0;
+    const { present, accepted, effectiveCount } = subject;
+    return Math.min(present, accepted?.count ?? Infinity, effectiveCount ?? Infinity);
+  }
+
   /** Servers that were ordered last, or that were present before the first order. */
   countOrdered(failureDomain: string, kind: ServerKind): number {
     const subject = this.subjects.get(makeKey(failureDomain, kind));
@@ -97,9 +107,11 @@
     return [...byDomain.values()];
   }
 
-  recordSend({ failureDomain, kind }: DesiredServers, nowMs: number): void {
+  recordSend({ failureDomain, kind, count }: DesiredServers, nowMs: number): void {
     this.sentAtMs.set(failureDomain, nowMs);
-    this.#getSubject(failureDomain, kind).sendingSinceMs = nowMs;
+    const subject = this.#getSubject(failureDomain, kind);
+    subject.sendingSinceMs = nowMs;
+    subject.effectiveCount = count;
   }
 
   recordOutcome(order: DesiredServers, outcome: OrderOutcome, nowMs: number): void {
@@ -113,12 +125,14 @@
         subject.isRefused = false;
         return;
       case 'unavailable':
+        subject.effectiveCount = undefined;
         subject.isRefused = true;
         subject.refusedCount = order.count;
         subject.retryAtMs = nowMs + UNAVAILABLE_RETRY_MS;
         subject.refusedUntilMs = nowMs + REFUSAL_MS;
         return;
       case 'throttled':
+        subject.effectiveCount = undefined;
         return;
       case 'unknown':
         if (subject.unknownInRow >= MAX_QUICK_REPEATS) subject.retryAtMs = nowMs + SLOW_REPEAT_MS;
@@ -161,7 +175,12 @@
     const subject: Subject = {
       ...{ failureDomain, kind, present: 0, baseline: 0, accepted: undefined, unknownInRow: 0 },
       ...{ hasLosses: false, isRefused: false, isUndelivered: false, sendingSinceMs: undefined },
-      ...{ retryAtMs: -Infinity, refusedUntilMs: -Infinity, refusedCount: undefined },
+      ...{
+        retryAtMs: -Infinity,
+        refusedUntilMs: -Infinity,
+        refusedCount: undefined,
+        effectiveCount: undefined,
+      },
     };
     this.subjects.set(key, subject);
     return subject;
