Estimate the speed of servers from windows that noise cannot fill

Cause: the quantile of pauses was followed by a step for each pause, so that noise of 2.5 times for 0.6 s raised the estimate of a server by 27 % at 40 pauses a second and by 50 % within 0.1 s at 400, and it took long to fall.

Change: the estimate follows the lower quartile of windows of at least 1.2 s and 6 pauses; until the first window is complete, it is the shortest pause. At most one pause in 20 ms is kept.

--- a/packages/policy/src/placement/speed-tracker.ts
+++ b/packages/policy/src/placement/speed-tracker.ts
@@ -17,8 +17,17 @@
 const DEFAULT_RESPONSE_MS = 50;
 /** Quantile of the pauses that represents a server's decode speed; longer pauses are caused by concurrent prefills. */
 const PAUSE_QUANTILE = 0.25;
-/** Step size of the quantile estimate, relative to the estimate. */
-const PAUSE_QUANTILE_STEP = 0.04;
+/**
+ * Minimum duration of a window whose quantile updates the estimate, in milliseconds. Noise of 0.6 s fills less of it than
+ * the quantile tolerates.
+ */
+const PAUSE_WINDOW_MS = 1_200;
+/** Minimum number of pauses in a window; one of 74 instances sees about four pauses of a server in a second. */
+const MIN_WINDOW_PAUSES = 6;
+/** Interval between two pauses that are kept, in milliseconds; it bounds their number in a window. */
+const KEPT_PAUSE_INTERVAL_MS = 20;
+/** Weight of the newest window in the estimate. */
+const WINDOW_WEIGHT = 0.5;
 /** Maximum ratio of a server's pause estimate to that of the fastest server. */
 const MAX_DECODE_RATIO = 8;
 
@@ -30,9 +39,18 @@
   updatedAtMs: number;
 }
 
+/** Estimated pause of a server, with the pauses of the window that updates it next. */
+interface PauseEstimate extends Estimate {
+  /** Whether a window was complete; before that, the estimate is the shortest pause. */
+  hasWindow: boolean;
+  windowStartMs: number;
+  keptAtMs: number;
+  windowPausesMs: number[];
+}
+
 /** Estimates the speed of backend servers from their responses. */
 export class SpeedTracker {
-  private readonly pauses = new Map<string, Estimate>();
+  private readonly pauses = new Map<string, PauseEstimate>();
   private readonly responseTimes = new Map<string, Estimate>();
   private prefillRatio = 1;
   private firstEventOverheadMs = 0;
@@ -69,12 +87,20 @@
 
   /** Records the time between two events of a stream. */
   recordPause(serverId: string, pauseMs: number, nowMs: number): void {
-    const known = this.pauses.get(serverId)?.value ?? pauseMs;
-    const step = pauseMs > known ? PAUSE_QUANTILE : PAUSE_QUANTILE - 1;
-    this.pauses.set(serverId, {
-      value: Math.max(1, known * (1 + PAUSE_QUANTILE_STEP * step)),
-      updatedAtMs: nowMs,
-    });
+    const known = this.pauses.get(serverId);
+    if (known === undefined) {
+      this.pauses.set(serverId, makePauseEstimate(pauseMs, nowMs));
+      return;
+    }
+    known.updatedAtMs = nowMs;
+    if (nowMs - known.keptAtMs < KEPT_PAUSE_INTERVAL_MS) return;
+    known.keptAtMs = nowMs;
+    known.windowPausesMs.push(pauseMs);
+    if (!known.hasWindow) known.value = Math.max(1, Math.min(known.value, pauseMs));
+    const isComplete =
+      nowMs - known.windowStartMs >= PAUSE_WINDOW_MS &&
+      known.windowPausesMs.length >= MIN_WINDOW_PAUSES;
+    if (isComplete) finishWindow(known, nowMs);
   }
 
   /** Records the time of a non-streaming response. */
@@ -133,6 +159,24 @@
   }
 }
 
+function makePauseEstimate(pauseMs: number, nowMs: number): PauseEstimate {
+  return {
+    ...{ value: Math.max(1, pauseMs), updatedAtMs: nowMs, hasWindow: false },
+    ...{ windowStartMs: nowMs, keptAtMs: nowMs, windowPausesMs: [pauseMs] },
+  };
+}
+
+/** Updates the estimate by the quantile of the window's pauses, and begins the next window. */
+function finishWindow(estimate: PauseEstimate, nowMs: number): void {
+  const sorted = estimate.windowPausesMs.sort((one, other) => one - other);
+  const quantileMs = Math.max(1, sorted[Math.floor(PAUSE_QUANTILE * sorted.length)] ?? 1);
+  const weight = estimate.hasWindow ? WINDOW_WEIGHT : 1;
+  estimate.value += weight * (quantileMs - estimate.value);
+  estimate.hasWindow = true;
+  estimate.windowStartMs = nowMs;
+  estimate.windowPausesMs = [];
+}
+
 function computeDecayed(known: Estimate | undefined, baseline: number, nowMs: number): number {
   if (known === undefined) return baseline;
   return baseline + (known.value - baseline) * 0.5 ** ((nowMs - known.updatedAtMs) / HALF_LIFE_MS);
