--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,3 @@
-import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
@@ -29,6 +28,7 @@
 import { KeyFreshness } from './key-freshness';
 import type { ReportedPrompt } from './load-report-codec';
 import { LimitObserver } from './limit-observer';
+import { createMetricsServer, createReadinessServer } from './operator-servers';
 import { LimitedAdmissions } from './limited-admissions';
 import type { GatewayLog } from './log-and-clock';
 import { RouteTable } from './route-table';
@@ -68,7 +68,6 @@
 ] as const satisfies readonly (keyof GatewaySettings)[];
 /** Longest time for which the watches wait for the first announcement, in milliseconds. */
 const MAX_ANNOUNCE_DELAY_MS = 200;
-const DEFAULT_READINESS_PATH = '/readyz';
 /**
  * Share of `retrySlack`, the retries allowed regardless of the retry ratio, that all instances together use. The rest
  * is a margin, since instances do not know their number exactly.
@@ -513,25 +512,3 @@
   const spec = { address, port, failureDomain, isWatchable: true, isReaderCandidate: true };
   return new InstanceAnnouncement({ instanceId, kind: INSTANCE_KIND, spec, store, log });
 }
-
-function createReadinessServer(settings: GatewaySettings, isReady: () => boolean): Server {
-  const path = settings.readinessPath ?? DEFAULT_READINESS_PATH;
-  return createServer((request, response) => {
-    if (request.url !== path) response.writeHead(404).end();
-    else response.writeHead(isReady() ? 200 : 503).end();
-  });
-}
-
-function createMetricsServer(context: GatewayContext): Server {
-  return createServer((_, response) => {
-    context.metrics
-      .renderText()
-      .then((text) => {
-        response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
-      })
-      .catch((error: unknown) => {
-        context.log.error('failed to render metrics', { error: String(error) });
-        response.writeHead(500).end();
-      });
-  });
-}
--- a/packages/gateway/test/change-log.test.ts
+++ b/packages/gateway/test/change-log.test.ts
@@ -61,7 +61,9 @@
   log.record(put('a', 6, { text: `${LARGE}y` }), 0);
   const [change] = takeChanges(log, 5);
   expect(change?.kind).toBe('patched');
-  expect(measureChange(change ?? { kind: 'deleted', name: '', position: makePosition(0) })).toBeLessThan(200);
+  expect(
+    measureChange(change ?? { kind: 'deleted', name: '', position: makePosition(0) }),
+  ).toBeLessThan(200);
 });
 
 test.each([
