Give all parts of a listing the same end

The last part of the differences of a listing had the position of the whole news as its end, the others that of the listing. If these differ, which happens after a lost history in one era, the parts were never put together.

--- a/packages/gateway/src/store-message-codec.ts
+++ b/packages/gateway/src/store-message-codec.ts
@@ -147,7 +147,9 @@
   let { from } = news;
   return parts.map(({ changes: split, part }, index) => {
     const isLast = index === parts.length - 1;
-    const end = isLast ? to : (split.at(-1)?.position ?? from);
+    // All parts of a moment have the same end, by which the receiver knows that they belong together.
+    const endIndex = part === undefined ? index : index - part.index + part.count - 1;
+    const end = endIndex === parts.length - 1 ? to : (split.at(-1)?.position ?? from);
     const ages = { ageMs: isLast ? ageMs : undefined };
     const result = { kind: news.kind, from, to: end, ...ages, changes: split };
     const isContinued = part !== undefined && part.index < part.count - 1;
