Compare the time of usage with peers four times a second at most

Each counted request and each datagram sorted the offsets of all peers, of which the holder hears up to 300. The comparison is now made every 250 ms and after a step. A counted request is no longer judged again.

--- a/packages/gateway/src/duties/run-evidence.ts
+++ b/packages/gateway/src/duties/run-evidence.ts
@@ -31,6 +31,7 @@
       },
       recordHead: ({ status, headers }) => {
         hasHead = true;
+        if (this.isCounted || input.team === undefined) return;
         const decoded = context.codec.decodeResponse(status, headers, input.head.requestId);
         isRefused = decoded.kind === 'not-run';
         // A stream begins with its first event; any other answer of its server shows that the request was run.
--- a/packages/policy/src/duties/usage-clock.ts
+++ b/packages/policy/src/duties/usage-clock.ts
@@ -6,6 +6,8 @@
 const MAX_SKEW_MS = 1_000;
 /** Age from which what a peer has told is not used, in milliseconds. */
 const PEER_TIME_AGE_MS = 12_000;
+/** Interval at which the own time is compared with that of peers, in milliseconds; the holder hears of hundreds. */
+const COMPARE_INTERVAL_MS = 250;
 /** Peers that must agree against an own time of day that has not been set. */
 const MIN_PEERS = 2;
 
@@ -17,12 +19,13 @@
   private offsetMs: number | undefined;
   private lastOffsetMs: number | undefined;
   private hasStepped = false;
+  private comparedAtMs = -Infinity;
   private readonly peers = new Map<string, { offsetMs: number; atMs: number }>();
 
   /** Returns the time in milliseconds since the start of 1970. */
   read(moment: LeaseMoment): number {
     this.#checkStep(moment.offsetMs);
-    this.#resolveOffset(moment);
+    if (moment.nowMs - this.comparedAtMs >= COMPARE_INTERVAL_MS) this.#resolveOffset(moment);
     return moment.nowMs + (this.offsetMs ?? moment.offsetMs);
   }
 
@@ -40,9 +43,11 @@
     this.hasStepped = true;
     // A suspension changes how the monotonic clock compares with the time of peers.
     this.peers.clear();
+    this.comparedAtMs = -Infinity;
   }
 
   #resolveOffset({ nowMs, offsetMs }: LeaseMoment): void {
+    this.comparedAtMs = nowMs;
     for (const [instanceId, { atMs }] of this.peers) {
       if (nowMs - atMs > PEER_TIME_AGE_MS) this.peers.delete(instanceId);
     }
