Replace reclaimed servers a second earlier, and keep those that boot

Servers that make up for a reclaimed failure domain were ordered only after the platform had refused to replace the lost ones.

Servers that boot are now given back only if the others present and expected cover the need. A test covers this.

--- a/packages/policy/src/scaling/desired-servers.ts
+++ b/packages/policy/src/scaling/desired-servers.ts
@@ -84,9 +84,14 @@
   const price = raised.reduce((sum, order) => sum + order.count * priceOf(order), 0);
   if (plan.price > price * MAX_KEPT_PRICE_SHARE) return [...raised];
   const lowered = raised.map((order) => ({ ...order }));
-  const staying = new StayingServers(context.book);
+  const { book } = context;
+  const staying = new ServerTotals(book, (domain, kind) => book.countStaying(domain, kind));
+  const expected = new ServerTotals(
+    book,
+    (domain, kind) => book.countStaying(domain, kind) + book.countBooting(domain, kind),
+  );
   for (const order of [...lowered].sort((one, other) => priceOf(other) - priceOf(one))) {
-    withdrawServers(order, lowered, staying, context);
+    withdrawServers(order, lowered, { staying, expected }, context);
   }
   return lowered;
 }
@@ -94,7 +99,7 @@
 function withdrawServers(
   order: DesiredServers,
   all: readonly DesiredServers[],
-  staying: StayingServers,
+  { staying, expected }: { staying: ServerTotals; expected: ServerTotals },
   context: DesiredContext,
 ): void {
   const { need, book } = context;
@@ -108,13 +113,16 @@
   const preemptibleTarget = getTarget(context, failureDomain, 'preemptible');
   const isBlocking = () =>
     kind === 'on-demand' && preemptibleTarget + order.count > need.maxServers;
+  const present = book.countStaying(failureDomain, kind);
+  const booting = book.countBooting(failureDomain, kind);
   while (order.count > target && countInDomain() > need.minServers) {
-    // Servers that have not appeared yet can be given back without harm.
-    const isPresent = book.countStaying(failureDomain, kind) >= order.count;
-    if (isPresent) {
-      const required = { ...need, total: isBlocking() ? 0 : need.total };
-      if (!staying.isCoveredWithout(failureDomain, kind, required)) return;
-      staying.remove(failureDomain, kind);
+    const required = { ...need, total: isBlocking() ? 0 : need.total };
+    // Servers that are not to be had are withdrawn without harm, and those that boot if the others are enough.
+    if (order.count <= present + booting) {
+      const totals = order.count > present ? expected : staying;
+      if (!totals.isCoveredWithout(failureDomain, kind, required)) return;
+      totals.remove(failureDomain, kind);
+      if (totals === staying) expected.remove(failureDomain, kind);
     }
     order.count -= 1;
   }
@@ -127,18 +135,18 @@
   return counts.get(failureDomain)?.[kind] ?? 0;
 }
 
-/** Servers that take requests now and stay, less those that are given back in this step. */
-class StayingServers {
+/** Servers that take requests or are expected to, less those that are given back in this step. */
+class ServerTotals {
   private total = 0;
   /** Servers that may still be given back in this step. */
   private removable: number;
   private readonly preemptible = new Map<string, number>();
 
-  constructor(book: OrderBook) {
+  constructor(book: OrderBook, count: (failureDomain: string, kind: ServerKind) => number) {
     for (const failureDomain of book.listDomains()) {
-      const preemptible = book.countStaying(failureDomain, 'preemptible');
+      const preemptible = count(failureDomain, 'preemptible');
       this.preemptible.set(failureDomain, preemptible);
-      this.total += preemptible + book.countStaying(failureDomain, 'on-demand');
+      this.total += preemptible + count(failureDomain, 'on-demand');
     }
     this.removable = Math.ceil(this.total * MAX_REMOVED_SHARE);
   }
--- a/packages/policy/src/scaling/order-book.ts
+++ b/packages/policy/src/scaling/order-book.ts
@@ -7,6 +7,8 @@
 const UNAVAILABLE_RETRY_MS = 3_000;
 /** Time for which none are assumed to be had there, in milliseconds; longer than until the next answer to a repeated order. */
 const REFUSAL_MS = 5_000;
+/** Share of the preemptible servers of a failure domain whose loss in one step is taken for a reclaim. */
+const RECLAIMED_SHARE = 0.5;
 /** Shortest interval between two orders for a failure domain, in milliseconds. */
 const MIN_ORDER_INTERVAL_MS = 950;
 /** Longest wait for the answer to an order before another one for the same servers, in milliseconds. */
@@ -126,10 +128,9 @@
         return;
       case 'unavailable':
         subject.effectiveCount = undefined;
-        subject.isRefused = true;
+        markRefused(subject, nowMs);
         subject.refusedCount = order.count;
         subject.retryAtMs = nowMs + UNAVAILABLE_RETRY_MS;
-        subject.refusedUntilMs = nowMs + REFUSAL_MS;
         return;
       case 'throttled':
         subject.effectiveCount = undefined;
@@ -143,7 +144,10 @@
   #observeSubject(subject: Subject, present: number, nowMs: number, bootMs: number): void {
     const { accepted } = subject;
     if (nowMs >= subject.refusedUntilMs) subject.isRefused = false;
-    if (present < Math.min(subject.present, accepted?.count ?? 0)) subject.hasLosses = true;
+    if (present < Math.min(subject.present, accepted?.count ?? 0)) {
+      subject.hasLosses = true;
+      if (isReclaim(subject, present)) markRefused(subject, nowMs);
+    }
     if (accepted === undefined) subject.baseline = Math.max(subject.baseline, present);
     if (present > subject.present) subject.isUndelivered = false;
     subject.present = present;
@@ -187,6 +191,16 @@
   }
 }
 
+/** Whether so many preemptible servers are gone at once that the platform has taken them back, and has no others there. */
+function isReclaim({ kind, present: previous }: Subject, present: number): boolean {
+  return kind === 'preemptible' && previous - present >= Math.max(2, previous * RECLAIMED_SHARE);
+}
+
+function markRefused(subject: Subject, nowMs: number): void {
+  subject.isRefused = true;
+  subject.refusedUntilMs = nowMs + REFUSAL_MS;
+}
+
 function isUnavailable({ isRefused, isUndelivered }: Subject): boolean {
   return isRefused || isUndelivered;
 }
--- a/packages/policy/test/scaling/load-patterns.test.ts
+++ b/packages/policy/test/scaling/load-patterns.test.ts
@@ -131,6 +131,13 @@
   expect(after?.ready).toBeGreaterThanOrEqual(41);
 });
 
+// Guards against servers that are given back while they boot, in favour of preemptible ones that are not to be had after all.
+test('on-demand servers make up for a reclaimed domain until there are others', () => {
+  const steps = simulateFleet({ ...BASE, reclaim: makeReclaim(ALL_DOMAINS) });
+  const after = steps.filter(({ nowMs }) => nowMs >= 46_000 && nowMs < 58_000);
+  expect(Math.min(...after.map(({ ready }) => ready))).toBeGreaterThanOrEqual(41);
+});
+
 // Guards against servers that are given back before those that replace them take requests.
 test('servers at the start are replaced only by servers that take requests', () => {
   const steps = simulateFleet(BASE);
--- a/packages/policy/test/scaling/order-book.test.ts
+++ b/packages/policy/test/scaling/order-book.test.ts
@@ -100,6 +100,27 @@
   expect(book.selectDue([makeOrder(5)], 10_000, BOOT_MS)).toEqual([makeOrder(5)]);
 });
 
+// Guards against a second that is lost until the platform refuses to replace servers that it has taken back.
+test.each([
+  { present: 1, isAvailable: false },
+  { present: 5, isAvailable: false },
+  { present: 6, isAvailable: true },
+  { present: 10, isAvailable: true },
+])('of ten preemptible servers $present are left: more are available: $isAvailable', (lossCase) => {
+  const { present, isAvailable } = lossCase;
+  const makeFleet = (count: number) => new Map([['a', { preemptible: count, 'on-demand': 0 }]]);
+  const book = new OrderBook();
+  book.recordSend(makeOrder(10), 0);
+  book.recordOutcome(makeOrder(10), 'accepted', 0);
+  book.observe(makeFleet(10), 5_000, BOOT_MS);
+  book.observe(makeFleet(present), 6_000, BOOT_MS);
+  expect(book.isAvailable('a', 'preemptible')).toBe(isAvailable);
+  // The order is repeated at once all the same, and its answer decides.
+  expect(book.selectDue([makeOrder(10)], 6_000, BOOT_MS)).toHaveLength(present < 10 ? 1 : 0);
+  book.recordOutcome(makeOrder(10), 'accepted', 6_100);
+  expect(book.isAvailable('a', 'preemptible')).toBe(true);
+});
+
 // Guards against capacity that is counted on although the platform does not deliver it.
 test('servers that do not appear in time are not expected any more', () => {
   const book = new OrderBook();
