Show the spread of load in metrics and in a log line

Cause: nothing showed whether servers are overrun while others are idle.

Change: gauges of the mean and most requests at a server, of idle and queued servers and of the age of reports, a counter of streams that were evened out to another than the cheapest server, and a log line a minute and service. All servers are visited only when metrics are read and for the log line.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { createScalingMetrics } from './scaling/scaling-metrics';
 import type { ScalingMetrics } from './scaling/scaling-metrics';
+import type { LoadSpread } from './load-spread';
 import { TRAFFIC_PARTIES } from './traffic-meter';
 import type { TrafficMeter } from './traffic-meter';
 
@@ -39,6 +40,7 @@
   getDutyToken(): number;
   /** Last window of usage of which the instance's report was accepted; 0 if there is none. */
   getLastReportedWindow(): number;
+  listSpreads(): readonly LoadSpread[];
 }
 
 /** Creates the metrics in a new registry. */
@@ -46,6 +48,7 @@
   const registry = new Registry();
   const registers = [registry];
   createTrafficCounter(registry, traffic);
+  createSpreadGauges(registry, gauges.listSpreads);
   createCountGauge(registry, gauges.countQuarantinedTraits, {
     name: 'pollendrum_quarantined_traits',
     help: 'Traits of requests that are held back because they crash backend servers.',
@@ -165,6 +168,51 @@
   });
 }
 
+/** Metrics of the spread of load. They are rendered in this order, so all are set when the first is read. */
+function createSpreadGauges(registry: Registry, listSpreads: () => readonly LoadSpread[]): void {
+  const registers = [registry];
+  const reportAge = new Gauge({
+    name: 'pollendrum_load_report_age_ms',
+    help: 'Estimated age of what the instance knows of the requests of other instances, in milliseconds.',
+    labelNames: ['service'],
+    registers,
+    collect: () => {
+      for (const gauge of [reportAge, streams, requests, servers]) gauge.reset();
+      for (const spread of listSpreads()) {
+        const { service } = spread;
+        reportAge.set({ service }, spread.reportAgeMs);
+        streams.inc({ service, choice: 'evened-out' }, spread.evenedOutStreams);
+        streams.inc(
+          { service, choice: 'cheapest' },
+          spread.placedStreams - spread.evenedOutStreams,
+        );
+        requests.set({ service, statistic: 'mean' }, spread.meanRequests);
+        requests.set({ service, statistic: 'most' }, spread.mostRequests);
+        servers.set({ service, load: 'idle' }, spread.idleServers);
+        servers.set({ service, load: 'queued' }, spread.queuedServers);
+      }
+    },
+  });
+  const streams = new Counter({
+    name: 'pollendrum_placed_streams_total',
+    help: 'Streams by service and whether they went to the cheapest server or were evened out to another.',
+    labelNames: ['service', 'choice'],
+    registers,
+  });
+  const requests = new Gauge({
+    name: 'pollendrum_server_requests',
+    help: 'Requests in progress at a backend server, from all instances: mean and most at one server.',
+    labelNames: ['service', 'statistic'],
+    registers,
+  });
+  const servers = new Gauge({
+    name: 'pollendrum_servers_by_load',
+    help: 'Backend servers without a request (idle), and with at least two that wait (queued).',
+    labelNames: ['service', 'load'],
+    registers,
+  });
+}
+
 function createCountGauge(
   registry: Registry,
   count: () => number,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -155,6 +155,7 @@
       getStoreEra: () => eras.getEra(),
       getDutyToken: () => this.duties?.getToken() ?? 0,
       getLastReportedWindow: () => this.duties?.getLastReportedWindow() ?? 0,
+      listSpreads: () => this.context.chooser.listSpreads(clock()),
     });
     this.context = {
       settings,
@@ -206,7 +207,7 @@
         failures,
         speeds,
         groups,
-        ...{ availability, limits: limitSharing },
+        ...{ availability, limits: limitSharing, log },
       }),
       availability,
       limitSharing,
--- a/packages/gateway/src/server-chooser.ts
+++ b/packages/gateway/src/server-chooser.ts
@@ -20,6 +20,9 @@
   StreamRequest,
 } from '@pollendrum/policy';
 import type { BackendServer, Route, Service } from './bundle';
+import { summarizeSpread } from './load-spread';
+import type { LoadSpread, PlacedStreams } from './load-spread';
+import type { GatewayLog } from './log-and-clock';
 import type { LimitSharing } from './limit-sharing';
 import type { RequestHead } from './header-codec';
 import type { ServerAvailability } from './server-availability';
@@ -71,6 +74,8 @@
   groups: InstanceGroups;
   availability: Pick<ServerAvailability, 'judge'>;
   limits: Pick<LimitSharing, 'judge'>;
+  /** Gets a line on the spread of load at intervals while there are requests. */
+  log?: GatewayLog;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   sampleRandom?: () => number;
 }
@@ -93,12 +98,16 @@
 
 /** Pause target of services and routes that state none, in milliseconds. */
 const DEFAULT_PAUSE_TARGET_MS = 1_000;
+/** Interval of the log lines on the spread of a service's load, in milliseconds. */
+const SPREAD_LOG_INTERVAL_MS = 60_000;
 /** Requests for each slot that a plain server gets at most while others are left out because of their limits. */
 const MAX_OCCUPANCY = 2;
 
 /** Chooses backend servers by load, prefix cache contents, speed and failures. */
 export class ServerChooser {
   private readonly groupServers = new Map<string, GroupServers>();
+  private readonly streams = new Map<string, PlacedStreams>();
+  private readonly spreadLoggedAtMs = new Map<string, number>();
   private readonly sampleRandom: () => number;
 
   constructor(private readonly options: ServerChooserOptions) {
@@ -108,6 +117,7 @@
   /** Chooses a ready server that is not excluded; undefined when there is none. */
   choose(request: ServerChoiceRequest, nowMs: number): ServerChoice | undefined {
     const group = this.#selectGroupServers(request.serviceName);
+    this.#reportSpread(request.serviceName, nowMs);
     return request.route.kind === 'stream'
       ? this.#chooseForStream(request, group, nowMs)
       : this.#chooseForPlainRequest(request, group, nowMs);
@@ -180,6 +190,37 @@
     return selected;
   }
 
+  /** Lists how evenly load is spread over the servers of each service that this instance has chosen servers of. */
+  listSpreads(nowMs: number): LoadSpread[] {
+    return [...this.groupServers.keys()].map((service) => this.#summarizeSpread(service, nowMs));
+  }
+
+  #summarizeSpread(service: string, nowMs: number): LoadSpread {
+    const { pool, peerFactor } = this.#selectGroupServers(service);
+    const serverIds = pool.listServers().map(({ serverId }) => serverId);
+    const streams = this.streams.get(service) ?? { placed: 0, evenedOut: 0 };
+    const { loads } = this.options;
+    return summarizeSpread(service, serverIds, streams, { loads, peerFactor, nowMs });
+  }
+
+  /** Logs the spread at intervals; the first line comes one interval after the first request. */
+  #reportSpread(service: string, nowMs: number): void {
+    const { log } = this.options;
+    const loggedAtMs = this.spreadLoggedAtMs.get(service);
+    if (log === undefined) return;
+    if (loggedAtMs !== undefined && nowMs - loggedAtMs < SPREAD_LOG_INTERVAL_MS) return;
+    this.spreadLoggedAtMs.set(service, nowMs);
+    if (loggedAtMs === undefined) return;
+    log.info('spread of load over backend servers', { ...this.#summarizeSpread(service, nowMs) });
+  }
+
+  #recordPlacement(service: string, { isEvenedOut }: StreamPlacement): void {
+    const streams = this.streams.get(service) ?? { placed: 0, evenedOut: 0 };
+    this.streams.set(service, streams);
+    streams.placed += 1;
+    if (isEvenedOut) streams.evenedOut += 1;
+  }
+
   /** Records the time to the first event at a server whose queue was empty. */
   recordFirstEvent(observedMs: number, predicted: StreamPlacement): void {
     this.options.speeds.recordFirstEvent(observedMs, predicted);
@@ -227,6 +268,7 @@
     const placement = choosePlacement(streamRequest, candidates, options);
     const chosen = candidates.find(({ serverId }) => serverId === placement?.serverId);
     if (placement === undefined || chosen === undefined) return undefined;
+    this.#recordPlacement(request.serviceName, placement);
     const { server, load } = chosen;
     return {
       server,
--- a/packages/policy/src/placement/server-pool.ts
+++ b/packages/policy/src/placement/server-pool.ts
@@ -58,6 +58,11 @@
     return this.byId.get(serverId)?.server;
   }
 
+  /** Lists all servers, in the order that all instances share. */
+  listServers(): T[] {
+    return this.ordered.map(({ server }) => server);
+  }
+
   /** Takes in the load of a server that was considered for a request. */
   observeLoad(serverId: string, { shortShare, longShare }: SeenUtilization): void {
     const pooled = this.byId.get(serverId);
--- a/packages/policy/src/placement/stream-placement.ts
+++ b/packages/policy/src/placement/stream-placement.ts
@@ -53,6 +53,8 @@
   firstEventMs: number;
   /** Predicted time to the end of the response, in milliseconds. */
   completionMs: number;
+  /** Whether another server had a lower cost by the reports, but probably got requests of other instances since. */
+  isEvenedOut: boolean;
 }
 
 export interface PlacementOptions {
@@ -149,9 +151,11 @@
 /** Cost of a candidate and the placement that results if it is chosen. */
 interface CandidateCost extends SplitCost {
   candidate: StreamCandidate;
-  placement: StreamPlacement;
+  placement: EstimatedPlacement;
 }
 
+type EstimatedPlacement = Omit<StreamPlacement, 'isEvenedOut'>;
+
 /** What the costs of all candidates for one request have in common. */
 interface CostContext {
   request: StreamRequest;
@@ -187,7 +191,11 @@
   };
   const costs = candidates.map((candidate) => computeSplitCost(candidate, context));
   const unseenCost = estimateUnseenCost(costs, context);
-  return chooseEvenly(costs, unseenCost, options.random ?? 0)?.placement;
+  const chosen = chooseEvenly(costs, unseenCost, options.random ?? 0);
+  if (chosen === undefined) return undefined;
+  const chosenCost = chosen.loadCost + chosen.cacheCost;
+  const isEvenedOut = costs.some(({ loadCost, cacheCost }) => loadCost + cacheCost < chosenCost);
+  return { ...chosen.placement, isEvenedOut };
 }
 
 function computeSplitCost(candidate: StreamCandidate, context: CostContext): CandidateCost {
@@ -211,7 +219,7 @@
 /** Cost of a placement without what depends on the servers that have parts of the prompt cached. */
 function computeLoadCost(
   candidate: StreamCandidate,
-  placement: StreamPlacement,
+  placement: EstimatedPlacement,
   { request, options, scope, prefillRiskWeight, prefillCostPerMs }: CostContext,
 ): number {
   return (
@@ -302,7 +310,7 @@
   candidate: StreamCandidate,
   source: StreamCandidate | undefined,
   { profile, firstEventOverheadMs }: PlacementOptions,
-): StreamPlacement {
+): EstimatedPlacement {
   const { load, slowness, serverId, cachedTokens } = candidate;
   const fetchedTokens = countFetchedTokens(candidate, source);
   const reusedTokens = cachedTokens + fetchedTokens;
@@ -348,7 +356,7 @@
   return excessStreams > 0 ? excessStreams * SLOT_RELEASE_INTERVAL_MS : 0;
 }
 
-function computeRequestCost(request: StreamRequest, placement: StreamPlacement): number {
+function computeRequestCost(request: StreamRequest, placement: EstimatedPlacement): number {
   const firstEventCost = computeTargetCost(placement.firstEventMs / request.firstEventTargetMs);
   const completionShare = placement.completionMs / request.remainingMs;
   return firstEventCost + Math.max(0, completionShare - SAFE_TARGET_SHARE);
