Bound what callers can make a gateway hold

Bodies were read whole before anything else was decided, one object per chunk, without a bound for all requests together, for the time that a body takes, or for connections. What the head decides is now decided first (and again after the body), 100 is sent only when the body is wanted, and bodies go into one block of memory that counts against one budget, shared by address and team. A body waits for memory (its connection is not read) before it is refused with 503; one that stalls or trickles gets 408, earlier while others wait. Bodies in tiny chunks are read at a bounded rate of chunks. Connections, begun heads and pipelined requests are bounded. The body is dropped when no server can get it any more. A refused body is read on for up to 1 s, so that the response is not lost to a reset. The bounds are settings (`callerBounds`), with a metric, a log line and a table in docs/guarantees.md.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -66,6 +66,11 @@
     return this.repetitionTrait;
   }
 
+  /** Drops the body, which is not sent again. The response can still be on its way. */
+  releaseBody(): void {
+    this.input.body = undefined;
+  }
+
   isEnded(): boolean {
     return this.outcome !== undefined;
   }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -27,6 +27,9 @@
   usageReports: Counter<'result'>;
   usageWindows: Counter<'result'>;
   scaling: ScalingMetrics;
+  callerBounds: Counter<'bound'>;
+  callerHeldBytes: Gauge;
+  callerConnections: Gauge;
   /** Renders all metrics in the Prometheus text exposition format. */
   renderText(): Promise<string>;
 }
@@ -147,6 +150,22 @@
       registers,
     }),
     scaling: createScalingMetrics(registry),
+    callerBounds: new Counter({
+      name: 'pollendrum_caller_bounds_total',
+      help: 'Requests refused and connections closed because of a bound on callers, by bound.',
+      labelNames: ['bound'],
+      registers,
+    }),
+    callerHeldBytes: new Gauge({
+      name: 'pollendrum_caller_held_bytes',
+      help: "Memory taken by callers' requests, in bytes.",
+      registers,
+    }),
+    callerConnections: new Gauge({
+      name: 'pollendrum_caller_connections',
+      help: 'Open connections of callers.',
+      registers,
+    }),
     renderText: () => registry.metrics(),
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -346,6 +346,7 @@
     this.trafficLog[Symbol.dispose]();
     await this.duties?.[Symbol.asyncDispose]();
     await this.scalingTask?.[Symbol.asyncDispose]();
+    this.callerServer[Symbol.dispose]();
     await this.storeWatchers[Symbol.asyncDispose]();
     await this.fleetExchange[Symbol.asyncDispose]();
     await this.context.backendPool[Symbol.asyncDispose]();
--- a/packages/gateway/src/route-table.ts
+++ b/packages/gateway/src/route-table.ts
@@ -1,10 +1,13 @@
 import type { GatewayTeam, Route, RouteBundle, Service } from './bundle';
 
+export interface MatchedRoute {
+  kind: 'matched';
+  route: Route;
+  team: GatewayTeam | undefined;
+}
+
 /** Result of a route lookup: the matched route and team, or why there is no match. */
-export type RouteMatch =
-  | { kind: 'matched'; route: Route; team: GatewayTeam | undefined }
-  | { kind: 'no-route' }
-  | { kind: 'unknown-key' };
+export type RouteMatch = MatchedRoute | { kind: 'no-route' } | { kind: 'unknown-key' };
 
 /** Lookup indexes over one version of the configuration. */
 export class RouteTable {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -14,3 +14,4 @@
 export * from './readers';
 export * from './duties';
 export * from './scaling';
+export * from './callers';
