Do not reuse a connection whose upload the server has not read

A server may answer before it has read the request. undici then takes the request for done, and the gateway lent the connection to the next request, which waited behind the rest of the upload until its deadline. A connection with unsent bytes is discarded now.

--- a/packages/gateway/src/backend-connections.ts
+++ b/packages/gateway/src/backend-connections.ts
@@ -97,7 +97,9 @@
         if (isReleased) return;
         isReleased = true;
         this.inUse -= 1;
-        if (isReusable && !client.destroyed && !this.isClosed) {
+        // The server has answered before it has read the request; the next one would wait behind the rest of it.
+        const hasUnsentBytes = (state.socket?.writableLength ?? 0) > 0;
+        if (isReusable && !hasUnsentBytes && !client.destroyed && !this.isClosed) {
           this.idle.push({ client, state, idleSinceMs: this.clock() });
         } else {
           discardClient(client);
