Bound the memory for bodies in the entry

The entry kept each chunk of a body as an object and had no bound for the bodies of all requests. A body that does not fit is refused with 503 and the new cause `body-memory-full`, which says that the request was not run.

No crowd was run against the entry's process.

--- a/packages/protocol/src/causes/describe-cause.ts
+++ b/packages/protocol/src/causes/describe-cause.ts
@@ -61,6 +61,8 @@
       return `there is no service or route ${cause.service}`;
     case 'body-too-large':
       return `the body is over the limit of ${cause.limitBytes} bytes`;
+    case 'body-memory-full':
+      return `the bodies of all requests take ${cause.limitBytes} bytes, which is the limit`;
     case 'caller-disconnected':
       return `the caller disconnected after ${cause.deliveredTokens} tokens`;
     case 'caller-slow':
--- a/packages/router/src/entry/body-reader.ts
+++ b/packages/router/src/entry/body-reader.ts
@@ -1,9 +1,14 @@
 import type { Finding } from '@pollendrum/protocol';
+import { BodyBlock } from './body-memory';
+import type { BodyMemoryAccount } from './body-memory';
 import type { RequestContext } from './request-context';
 import { RequestError } from './request-context';
 
+/** Sent as `retry-after` when there is no memory for a body, in milliseconds. */
+const RETRY_AFTER_MS = 1_000;
+
 /**
- * Reads a request body. Throws RequestError when the body exceeds the limit, when the caller sends nothing
+ * Reads a request body. Throws RequestError when the body exceeds the limit, when there is no memory for it, when the caller sends nothing
  * for the idle timeout or disconnects, and when the HTTP parser rejects the body; `getParserFinding` returns
  * the parser error, if any.
  */
@@ -14,10 +19,12 @@
   const { request, limits } = context;
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   if (declaredBytes > limits.maxBodyBytes) throw createTooLargeError(limits.maxBodyBytes);
+  const { account } = context;
+  const block = new BodyBlock(account, limits.maxBodyBytes);
+  if (declaredBytes > 0 && !block.request(declaredBytes)) throw createNoMemoryError(account);
   // Node leaves 100 Continue to the checkContinue listener; it is sent here, when the body is needed.
   if (/^100-continue$/i.test(request.headers.expect ?? '')) context.response.writeContinue();
   return await new Promise<Buffer>((resolve, reject) => {
-    const chunks: Buffer[] = [];
     let size = 0;
     const timer = setTimeout(() => {
       context.closeCallerConnection('caller-slow');
@@ -35,17 +42,19 @@
     const handleData = (chunk: Buffer) => {
       timer.refresh();
       size += chunk.length;
-      if (size <= limits.maxBodyBytes) {
-        chunks.push(chunk);
-        return;
+      if (size > limits.maxBodyBytes) {
+        settle(() => {
+          reject(createTooLargeError(limits.maxBodyBytes));
+        });
+      } else if (!block.add(chunk)) {
+        settle(() => {
+          reject(createNoMemoryError(account));
+        });
       }
-      settle(() => {
-        reject(createTooLargeError(limits.maxBodyBytes));
-      });
     };
     const handleEnd = () => {
       settle(() => {
-        resolve(Buffer.concat(chunks, size));
+        resolve(block.take());
       });
     };
     const handleClose = () => {
@@ -67,6 +76,10 @@
   return new RequestError('not-run', { kind: 'body-too-large', limitBytes });
 }
 
+function createNoMemoryError({ limitBytes }: BodyMemoryAccount): RequestError {
+  return new RequestError('not-run', { kind: 'body-memory-full', limitBytes }, RETRY_AFTER_MS);
+}
+
 function createMalformedError(finding: Finding): RequestError {
   return new RequestError('not-run', { kind: 'bad-request', findings: [finding] });
 }
--- a/packages/router/src/entry/entry-options.ts
+++ b/packages/router/src/entry/entry-options.ts
@@ -57,6 +57,7 @@
 /** Limits from the settings, with defaults applied. */
 export interface EntryLimits {
   maxBodyBytes: number;
+  maxHeldBodyBytes: number;
   maxConnections: number;
   callerIdleTimeoutMs: number;
   claimRetentionMs: number;
@@ -66,6 +67,7 @@
 export function resolveEntryLimits(settings: Settings): EntryLimits {
   return {
     maxBodyBytes: settings.maxBodyBytes ?? 4_194_304,
+    maxHeldBodyBytes: settings.maxHeldBodyBytes ?? 67_108_864,
     maxConnections: settings.maxConnections ?? 10_000,
     callerIdleTimeoutMs: settings.callerIdleTimeoutMs ?? 60_000,
     claimRetentionMs: settings.claimRetentionMs ?? 86_400_000,
--- a/packages/router/src/entry/entry-task.ts
+++ b/packages/router/src/entry/entry-task.ts
@@ -6,6 +6,7 @@
 import { ServerPools } from '../backend/server-pools';
 import { ServiceClient } from '../backend/service-client';
 import type { ActiveBundle } from '../ports';
+import { BodyMemory } from './body-memory';
 import { readBody } from './body-reader';
 import { resolveTeam, parseRequestId, resolveCaller } from './caller-identity';
 import { ChatHandler } from './chat-handler';
@@ -60,6 +61,7 @@
 
 class EntryServer implements EntryTask {
   readonly #limits: EntryLimits;
+  readonly #bodyMemory: BodyMemory;
   readonly #server: Server;
   readonly #pools = new ServerPools();
   readonly #grantClient: GrantClient;
@@ -73,6 +75,7 @@
   constructor(readonly options: EntryOptions) {
     const { settings, peers, routing, chooseShard } = options;
     this.#limits = resolveEntryLimits(settings);
+    this.#bodyMemory = new BodyMemory(this.#limits);
     this.#grantClient = new GrantClient({
       peers,
       routing,
@@ -195,6 +198,7 @@
       pausedMs: this.#pauseDetector.getPausedMs(),
     });
     const span = telemetry.trace.startRequestSpan('request', request.headers);
+    using account = this.#bodyMemory.createAccount(request.socket.remoteAddress ?? '');
     const context = new RequestContext(
       this.options,
       this.#limits,
@@ -202,6 +206,7 @@
       response,
       lifecycle,
       span,
+      account,
     );
     try {
       await this.#routeRequest(context, active);
--- a/packages/router/src/entry/error-responses.ts
+++ b/packages/router/src/entry/error-responses.ts
@@ -72,6 +72,7 @@
     case 'instance-draining':
     case 'instance-paused':
     case 'no-bundle':
+    case 'body-memory-full':
       // 503 invites the caller to retry, which is safe only if the request did not run.
       return outcome === 'failed' ? 502 : 503;
   }
--- a/packages/router/src/entry/request-context.ts
+++ b/packages/router/src/entry/request-context.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Cause, OutcomeKind, ServiceClass } from '@pollendrum/protocol';
 import type { ActiveBundle, TraceSpan } from '../ports';
+import type { BodyMemoryAccount } from './body-memory';
 import type { EntryLimits, EntryOptions } from './entry-options';
 import { buildErrorBody, getErrorStatus } from './error-responses';
 import type { ErrorResponse } from './error-responses';
@@ -50,6 +51,7 @@
     readonly response: ServerResponse,
     readonly lifecycle: RequestLifecycle,
     readonly span: TraceSpan,
+    readonly account: BodyMemoryAccount,
   ) {
     response.once('close', () => {
       if (!response.writableFinished) this.closeCallerConnection('caller-disconnected');
--- a/packages/router/test/entry/limits.test.ts
+++ b/packages/router/test/entry/limits.test.ts
@@ -236,6 +236,33 @@
     .toContain('200 OK');
 });
 
+// Guards against bodies that stay unfinished and take the memory of all other requests.
+test('bodies over the memory of all are refused as not run, those of others are read', async () => {
+  const limits = { ...settings, maxBodyBytes: 65_536, maxHeldBodyBytes: 196_608 };
+  await using small = await createHarness([], { settings: limits });
+  const head = buildHead('POST', '/v1/chat/completions', `${HOST}${AUTH}Content-Length: 60000\r\n`);
+  const open = (localAddress: string) => {
+    let text = '';
+    const socket = connect({ host: '127.0.0.1', port: small.entry.port, localAddress });
+    socket.on('error', () => undefined).on('data', (chunk) => (text += chunk.toString()));
+    socket.write(head);
+    return { socket, readText: () => text };
+  };
+  const held = [open('127.0.0.2'), open('127.0.0.2'), open('127.0.0.2')];
+  await expect.poll(() => held.map(({ readText }) => readText()).join('')).toContain('503');
+  const texts = held.map(({ readText }) => readText()).filter((text) => text !== '');
+  expect(texts).toHaveLength(1);
+  expect(parseResponse(texts[0] ?? '')).toMatchObject({ status: 503 });
+  expect(JSON.parse(parseResponse(texts[0] ?? '').body)).toMatchObject({
+    error: { code: 'body_memory_full', not_run: true },
+  });
+  for (const { socket } of held) socket.destroy();
+  const later = open('127.0.0.3');
+  later.socket.write('x'.repeat(60_000));
+  await expect.poll(() => later.readText()).toContain('400');
+  later.socket.destroy();
+});
+
 // Guards against recording a body that the parser rejects as a disconnect of the caller.
 test('a body that the parser rejects is recorded as a bad request', async () => {
   const count = harness.outcomes.records.length;
