Tell a reset service response from a complete one

undici takes a reset for the end of a response without a length, so that a caller of the entry got part of a service's response as a complete 200, and a claim recorded it as done. The connector turns the code of resets into another one, which undici reports as a broken body. Statuses over 599, which HTTP does not define, are an error now as well.

malformed-answers (32 cases at the entry): 4 fail before the change (status 700 and a reset without a length, each with and without an upload), none after it. With services, chat-outcomes and backend tests: 74 pass.

--- a/packages/router/src/backend/server-pools.ts
+++ b/packages/router/src/backend/server-pools.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import { LRUCache } from 'lru-cache';
 import { Client, Pool } from 'undici';
+import { createStrictConnector } from './strict-connector';
 
 export interface ServerAddress {
   /** IP address. */
@@ -27,7 +28,7 @@
     if (existingPool !== undefined) return existingPool;
     const pool = new Pool(origin, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: createStrictConnector(CONNECT_TIMEOUT_MS),
       keepAliveTimeout: KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -43,7 +44,7 @@
    */
   createUnpooledClient(server: ServerAddress): Client {
     return new Client(toOrigin(server), {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: createStrictConnector(CONNECT_TIMEOUT_MS),
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- a/packages/router/src/backend/service-client.ts
+++ b/packages/router/src/backend/service-client.ts
@@ -27,6 +27,9 @@
   isDraining: boolean;
 }
 
+/** Statuses that HTTP defines for a final response. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
 /** Headers that are left to the HTTP client of each connection. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set(['expect', 'host', 'content-length']);
 // Headers addressed to the router. Services must not see the bearer key of the caller.
@@ -92,6 +95,10 @@
       idempotent: call.isIdempotent,
       signal: call.signal,
     });
+    if (response.statusCode < MIN_STATUS || response.statusCode > MAX_STATUS) {
+      response.body.on('error', () => undefined).destroy();
+      throw new BackendCallError(true, new Error(`invalid status ${response.statusCode}`));
+    }
     const headers = removeHopByHopHeaders(response.headers);
     return {
       status: response.statusCode,
--- a/packages/router/test/entry/fakes.ts
+++ b/packages/router/test/entry/fakes.ts
@@ -341,9 +341,10 @@
   method: string,
   path: string,
   headers: Record<string, string> = {},
+  body?: string,
 ): Promise<Response> {
   return await fetch(`${url}/services/orders${path}`, {
-    method,
+    ...{ method, ...(body === undefined || body === '' ? {} : { body }) },
     headers: { authorization: `Bearer ${TEAM_KEY}`, ...headers },
   });
 }
