--- a/packages/gateway/src/instance-announcement.ts
+++ b/packages/gateway/src/instance-announcement.ts
@@ -58,7 +58,9 @@
     if (!wasAnnounced || this.isAnnounced || this.isStopped || this.isPending) return;
     log.warn('the announcement of the instance is gone; it is announced again');
     this.isPending = true;
-    const maxDelayMs = Math.min(MAX_REPEAT_DELAY_MS, missing.length * REPEAT_INTERVAL_MS);
+    // How many are missing is not known yet while the changes of a new era are taken in one after the other.
+    const maxMissing = missing.includes(instanceId) ? instances.length : 0;
+    const maxDelayMs = Math.min(MAX_REPEAT_DELAY_MS, maxMissing * REPEAT_INTERVAL_MS);
     this.timer = setTimeout(() => void this.announce(), Math.random() * maxDelayMs);
   }
 
