--- a/packages/gateway/src/instance-announcement.ts
+++ b/packages/gateway/src/instance-announcement.ts
@@ -15,9 +15,9 @@
 /** Delay before a failed announcement is retried, in milliseconds. */
 const RETRY_MS = 1_000;
 /** Average time between the announcements of instances that the store has lost together, in milliseconds. */
-const REPEAT_INTERVAL_MS = 50;
+const REPEAT_INTERVAL_MS = 100;
 /** Longest delay of a repeated announcement, in milliseconds; the others keep an instance for longer. */
-const MAX_REPEAT_DELAY_MS = 10_000;
+const MAX_REPEAT_DELAY_MS = 20_000;
 
 /** Announces an instance in the store, and again when the announcement is gone. */
 export class InstanceAnnouncement implements Disposable {
--- a/packages/gateway/src/instance-directory.ts
+++ b/packages/gateway/src/instance-directory.ts
@@ -2,7 +2,7 @@
 import type { PeerAddress } from './peer-socket';
 
 /** Time after a new era for which instances are kept that the store has lost, in milliseconds; they announce themselves again. */
-const KEPT_FOR_MS = 12_000;
+const KEPT_FOR_MS = 24_000;
 
 /**
  * The announced instances. When the store has returned from a backup, those that it lacks stay known for a while, so that not
--- a/packages/gateway/src/kind-watcher.ts
+++ b/packages/gateway/src/kind-watcher.ts
@@ -50,7 +50,7 @@
 /** Shortest interval to a call that another watcher has asked for, so that objects do not count as outdated for others. */
 const SETTLING_REFRESH_INTERVAL_MS = 200;
 /** Time after a new era in which the operator and the servers write again what the backup lacks, in milliseconds. */
-const SETTLING_MS = 12_000;
+const SETTLING_MS = 22_000;
 
 export interface KindWatcherOptions {
   store: ObjectStore;
