Change a learned speed by little with each window

Change: the first window sets the estimate, later ones have a weight of 0.05, and the 10 % quantile in place of the quartile keeps prefills out.

--- a/packages/policy/src/placement/speed-tracker.ts
+++ b/packages/policy/src/placement/speed-tracker.ts
@@ -16,7 +16,7 @@
 /** Time of a non-streaming response assumed for a server without observations, in milliseconds. */
 const DEFAULT_RESPONSE_MS = 50;
 /** Quantile of the pauses that represents a server's decode speed; longer pauses are caused by concurrent prefills. */
-const PAUSE_QUANTILE = 0.25;
+const PAUSE_QUANTILE = 0.1;
 /**
  * Minimum duration of a window whose quantile updates the estimate, in milliseconds. Noise of 0.6 s fills less of it than
  * the quantile tolerates.
@@ -27,7 +27,7 @@
 /** Interval between two pauses that are kept, in milliseconds; it bounds their number in a window. */
 const KEPT_PAUSE_INTERVAL_MS = 20;
 /** Weight of the newest window in the estimate. */
-const WINDOW_WEIGHT = 0.5;
+const WINDOW_WEIGHT = 0.05;
 /** Maximum ratio of a server's pause estimate to that of the fastest server. */
 const MAX_DECODE_RATIO = 8;
 
