--- a/packages/gateway/test/store-eras.test.ts
+++ b/packages/gateway/test/store-eras.test.ts
@@ -105,7 +105,7 @@
   async replaceStore(backup: ReturnType<VirtualStore['takeBackup']>, firstBack = this.instances) {
     this.setContact('silent');
     await this.advance(AWAY_MS);
-    this.store.restore(backup);
+    this.store.resetToBackup(backup);
     this.setContact('answers', firstBack);
     this.scheduleWriters();
   }
--- a/packages/gateway/test/virtual-store.ts
+++ b/packages/gateway/test/virtual-store.ts
@@ -76,16 +76,16 @@
 
   takeBackup(): StoreBackup {
     const { revision, changes } = this;
-    return { revision, objects: copyObjects(this.objects), changes: [...changes] };
+    return { revision, objects: makeObjectCopies(this.objects), changes: [...changes] };
   }
 
   /**
    * Returns to a backup in a new era. Later writes are lost and their revisions are assigned again; open watches get no answer.
    */
-  restore({ revision, objects, changes }: StoreBackup): void {
+  resetToBackup({ revision, objects, changes }: StoreBackup): void {
     this.era += 1;
     this.revision = revision;
-    this.objects = copyObjects(objects);
+    this.objects = makeObjectCopies(objects);
     this.changes = [...changes];
     this.waiters.clear();
   }
@@ -272,6 +272,6 @@
   }
 }
 
-function copyObjects(objects: StoreBackup['objects']): Map<string, Map<string, StoredObject>> {
+function makeObjectCopies(objects: StoreBackup['objects']): Map<string, Map<string, StoredObject>> {
   return new Map([...objects].map(([kind, byName]) => [kind, new Map(byName)]));
 }
