Move the order by hash to the rendezvous module

server-pool and stream-placement imported each other, which packages/cli/test/import-cycles.test.ts refuses.

--- a/packages/policy/src/placement/server-pool.ts
+++ b/packages/policy/src/placement/server-pool.ts
@@ -1,4 +1,4 @@
-import { computeScore, hashName } from '../rendezvous';
+import { compareByHash, computeScore, hashName } from '../rendezvous';
 import type { PromptPart } from './prefix-cache-tracker';
 import type { PromptLengthPartition } from './prompt-length-partition';
 import type { ServerLoad } from './server-load';
@@ -139,11 +139,6 @@
   }
 }
 
-/** Gives the servers the same order on every instance, regardless of the order in which they are listed. */
-export function compareByHash(a: string, b: string): number {
-  return hashName(a) - hashName(b) || (a < b ? -1 : 1);
-}
-
 /**
  * Moves a random choice of usable servers to the front of `pool` and adds them to `sampled`; servers are only examined
  * until the limit is reached.
--- a/packages/policy/src/placement/stream-placement.ts
+++ b/packages/policy/src/placement/stream-placement.ts
@@ -1,4 +1,4 @@
-import { computeScore, hashName } from '../rendezvous';
+import { compareByHash, computeScore, hashName } from '../rendezvous';
 import {
   AFFINITY_WEIGHT,
   chooseEvenly,
@@ -10,7 +10,6 @@
 import type { EngineProfile } from './engine-profile';
 import type { PromptLengthPartition } from './prompt-length-partition';
 import type { ServerLoad } from './server-load';
-import { compareByHash } from './server-pool';
 import type { PromptPart } from './prefix-cache-tracker';
 import { computeAddedUtilization } from './utilization-meter';
 
--- a/packages/policy/src/rendezvous.ts
+++ b/packages/policy/src/rendezvous.ts
@@ -53,3 +53,8 @@
 export function chooseOwner(key: string, instanceIds: readonly string[]): string | undefined {
   return chooseOwnerByHash(hashName(key), instanceIds);
 }
+
+/** Gives the servers the same order on every instance, regardless of the order in which they are listed. */
+export function compareByHash(a: string, b: string): number {
+  return hashName(a) - hashName(b) || (a < b ? -1 : 1);
+}
