--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -1,10 +1,11 @@
 // Starts the program of the deploy file with the filled-in settings template, as the platform does.
 import { spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { connect, createServer } from 'node:net';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { NAMES } from './names.mjs';
 
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 
@@ -79,7 +80,7 @@
     const { PATH, HOME, LANG } = process.env;
     this.child = spawn(command, args, {
       cwd: ROOT,
-      env: { PATH, HOME, LANG, POLLENDRUM_CONFIG: file },
+      env: { PATH, HOME, LANG, [NAMES.settingsVariable]: file },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.exited = new Promise((resolve) => {
@@ -128,7 +129,21 @@
   }
 }
 
-/** Makes a configuration with routes by name. */
+/** Makes a route of a configuration to the service `s`. */
+export function makeRoute({ name, type, timeoutMs, targetMs, attempts }) {
+  return {
+    ...{ Name: name, Host: 'a.example', Type: type, Service: 's', TimeoutMs: timeoutMs },
+    ...{ [NAMES.pathPrefix]: `/${name}/`, [NAMES.targetLatencyMs]: targetMs },
+    [NAMES.maxAttempts]: attempts,
+  };
+}
+
+/** Makes the service `s` of a configuration. */
+export function makeService(connections) {
+  return { Name: 's', [NAMES.maxConnections]: connections };
+}
+
+/** Makes a configuration. */
 export function makeConfig({ version = 1, routes, services, tenants, limits = {} }) {
   return {
     Version: version,
@@ -146,14 +161,6 @@
 export function makeServerEntry({ service, port, zone = 'z-a', capacity = 64, born, ...rest }) {
   return {
     ...{ Service: service, Address: `127.0.0.1:${port}`, Zone: zone, Version: '1' },
-    ...{ Capacity: capacity, State: 'ready', WarmupLeftMs: 0, Sequence: 1, born, ...rest },
+    ...{ Capacity: capacity, State: 'ready', [NAMES.warmupLeftMs]: 0, Sequence: 1, born, ...rest },
   };
 }
-
-export function openSocket(port) {
-  return new Promise((resolve, reject) => {
-    const socket = connect(port, '127.0.0.1');
-    socket.once('connect', () => resolve(socket));
-    socket.once('error', reject);
-  });
-}
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -1,5 +1,6 @@
 // Stand-in for the platform's store: the calls that PROTOCOL.md names, in memory.
 import { createServer } from 'node:http';
+import { NAMES } from './names.mjs';
 
 const ANSWER_MS = 4;
 
@@ -98,7 +99,11 @@
         if (name !== undefined) return known ? send(200, known) : send(404);
         if (url.searchParams.has('Watch'))
           return this.#watch(kind, url.searchParams, send, response);
-        return send(200, { Entries: [...objects.values()], HasMore: false, AsOf: this.revision });
+        return send(200, {
+          Entries: [...objects.values()],
+          [NAMES.hasMore]: false,
+          [NAMES.asOf]: this.revision,
+        });
       case 'POST': {
         const { Metadata, Spec } = JSON.parse(body);
         const existing = objects.get(Metadata.Name);
@@ -133,7 +138,7 @@
     const answer = () => {
       clearTimeout(timer);
       this.waiting.delete(wake);
-      send(200, { events: listEvents(), AsOf: this.revision });
+      send(200, { events: listEvents(), [NAMES.asOf]: this.revision });
     };
     const wake = () => {
       if (listEvents().length > 0) answer();
