--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -19,13 +19,21 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** Ports below those that the system gives to outgoing connections, so that none is taken later. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 31_000;
+
 /** Finds ports that are free now. */
 export async function findPorts(count) {
   const servers = [];
-  for (let index = 0; index < count; index += 1) {
+  while (servers.length < count) {
     const server = createServer();
-    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-    servers.push(server);
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
+    });
+    if (isFree) servers.push(server);
   }
   const ports = servers.map((server) => server.address().port);
   await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
