--- a/review/lib-2/further-bytes.mjs
+++ b/review/lib-2/further-bytes.mjs
@@ -32,8 +32,9 @@
 const MAX_LATE_MS = 24;
 const lines = [];
 const startedAtMs = performance.now();
+const getTime = () => Math.round(performance.now() - startedAtMs);
 const record = (text) => {
-  lines.push(`${String(Math.round(performance.now() - startedAtMs)).padStart(6)} ms  ${text}`);
+  lines.push(`${String(getTime()).padStart(6)} ms  ${text}`);
 };
 const pickBetween = (min, max) => min + Math.random() * (max - min);
 
@@ -42,7 +43,7 @@
 let isFaulty = false;
 let furtherCount = 0;
 let furtherBytes = '';
-/** How often each request has run, by id. */
+/** Which server has run a request and when, by id. */
 const runs = new Map();
 let answerCount = 0;
 
@@ -70,8 +71,7 @@
   const id = /x-attempt-id: (\S+)/i.exec(head)?.[1] ?? '';
   const { errorShare } = ROUTES.find(({ name }) => id.startsWith(name));
   const status = Math.random() < errorShare ? 500 : 200;
-  runs.set(id, (runs.get(id) ?? 0) + 1);
-  record(`server ${index} runs ${id}`);
+  runs.set(id, [...(runs.get(id) ?? []), `by server ${index} at ${getTime()} ms`]);
   answerCount += 1;
   const stamp = `${index}.${answerCount}.${status}`;
   const body = `${id} answered by ${index} with ${status}`.padEnd(800, '.');
@@ -113,6 +113,7 @@
     const socket = this.#takeIdle() ?? connect(this.port, '127.0.0.1').setEncoding('latin1');
     const body = type === 'idempotent' ? '' : 'x'.repeat(600);
     const method = type === 'idempotent' ? 'GET' : 'POST';
+    const sentAtMs = getTime();
     const answer = await new Promise((resolve) => {
       let text = '';
       const end = (result) => {
@@ -143,7 +144,7 @@
     });
     if (answer.why !== undefined) socket.destroy();
     else this.idle.push({ socket, sinceMs: performance.now() });
-    return { id, answer };
+    return { id, sentAtMs, answer };
   }
 
   /** Takes a channel that has been idle for less than four fifths of `IdleTimeoutMs`. */
@@ -196,6 +197,10 @@
     const pending = [];
     const counts = { sent: 0, whole: 0, failed: 0, none: 0, wrong: 0 };
     const judge = (result) => {
+      const { id, sentAtMs, answer } = result;
+      const by = runs.get(id)?.join(', ') ?? 'by none';
+      const told = answer.why ?? `${answer.status}, signature ${answer.stamp ?? 'none'}`;
+      record(`${id}: sent at ${sentAtMs} ms, run ${by}, answered: ${told}`);
       const fault = findFault(result);
       if (fault !== undefined) {
         counts.wrong += 1;
@@ -223,8 +228,8 @@
     isEnding = true;
     await Promise.all(feeds);
     await Promise.all(pending);
-    const repeated = [...runs].filter(([id, count]) => count > 1 && id.startsWith('order'));
-    for (const [id, count] of repeated) record(`${id} has run ${count} times`);
+    const repeated = [...runs].filter(([id, by]) => by.length > 1 && id.startsWith('order'));
+    for (const [id, by] of repeated) record(`${id} has run ${by.length} times: ${by.join(', ')}`);
     const { sent, whole, failed, none, wrong } = counts;
     record(
       `${sent} requests; ${furtherCount} answers with further bytes; ${whole} got their server's answer, ` +
